--- /dev/null
+++ b/src/bin/cranberrytray-stand.rs
@@ -0,0 +1,98 @@
+//! Stand-ins for the platform and a worker, as processes.
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use cranberrytray::{
+    coordination::configuration::{ConfigDocument, Configuration},
+    stand::{
+        platform::{Lists, PlatformStand},
+        serve,
+        worker::WorkerStand,
+    },
+};
+use derive_more::{Display, Error, From};
+use miette::Diagnostic;
+use std::{io, net::SocketAddr, path::PathBuf, sync::Arc};
+use tokio::net::TcpListener;
+
+/// Why a stand-in can't run.
+#[derive(Debug, Display, Error, From, Diagnostic)]
+enum StandError {
+    /// A file or an address can't be used.
+    #[display("{_0}")]
+    Io(io::Error),
+    /// A file does not hold what it should.
+    #[display("{_0}")]
+    Json(serde_json::Error),
+}
+
+fn listen_arg() -> Arg {
+    Arg::new("listen").long("listen").required(true).value_parser(value_parser!(SocketAddr))
+}
+
+fn file_arg(name: &'static str) -> Arg {
+    Arg::new(name).long(name).required(true).value_parser(value_parser!(PathBuf))
+}
+
+fn command() -> Command {
+    Command::new("cranberrytray-stand")
+        .about("Stand-ins for the platform and the workers, for demos and tests")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("platform")
+                .about("A table, and lists of entry VMs and workers")
+                .arg(listen_arg())
+                .arg(file_arg("configuration").help("The first configuration, JSON"))
+                .arg(file_arg("lists").help("The lists, JSON")),
+        )
+        .subcommand(
+            Command::new("worker")
+                .about("A worker that sleeps; payload `sleep:MS`")
+                .arg(listen_arg())
+                .arg(
+                    Arg::new("slots")
+                        .long("slots")
+                        .default_value("8")
+                        .value_parser(value_parser!(usize)),
+                )
+                .arg(
+                    Arg::new("slowness")
+                        .long("slowness")
+                        .default_value("1.0")
+                        .value_parser(value_parser!(f64)),
+                ),
+        )
+}
+
+fn required<T>(args: &ArgMatches, name: &str) -> T
+where
+    T: Clone + Send + Sync + 'static,
+{
+    args.get_one::<T>(name).cloned().expect("clap requires the argument or gives a default")
+}
+
+async fn run(args: &ArgMatches) -> Result<(), StandError> {
+    match args.subcommand() {
+        Some(("platform", args)) => {
+            let text = std::fs::read(required::<PathBuf>(args, "configuration"))?;
+            let configuration: Configuration = serde_json::from_slice(&text)?;
+            let lists: Lists =
+                serde_json::from_slice(&std::fs::read(required::<PathBuf>(args, "lists"))?)?;
+            let document = ConfigDocument { configuration, history: Vec::new() };
+            let listener = TcpListener::bind(required::<SocketAddr>(args, "listen")).await?;
+            serve(Arc::new(PlatformStand::new(document, lists)), listener).await;
+        }
+        Some((_, args)) => {
+            let stand = WorkerStand::new(required(args, "slots"), required(args, "slowness"));
+            let listener = TcpListener::bind(required::<SocketAddr>(args, "listen")).await?;
+            serve(Arc::new(stand), listener).await;
+        }
+        None => {}
+    }
+    Ok(())
+}
+
+#[tokio::main]
+async fn main() -> miette::Result<()> {
+    run(&command().get_matches()).await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/cranberrytray.rs
@@ -0,0 +1,16 @@
+//! The command line.
+
+use cranberrytray::cmd;
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = cmd::command().get_matches();
+    match cmd::run(&args).await {
+        Ok(exit) => exit.into(),
+        Err(e) => {
+            eprintln!("{:?}", miette::Report::new(e));
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/config.rs
@@ -0,0 +1,138 @@
+//! Usage: `cranberrytray config show|accept|history [--operator IP:PORT]`
+//!
+//! Shows and changes the configuration that all entry VMs work under.
+
+use super::{CmdError, CmdResult, Exit, json_arg, operator_arg, print_json, required};
+use crate::{
+    client::{ConfigChange, Operator},
+    cranberrytray_capnp::AcceptOutcome,
+    state::id::ConfigVersion,
+};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use rand::Rng;
+use serde::Serialize;
+use std::path::PathBuf;
+
+/// The arguments.
+pub fn command() -> Command {
+    Command::new("config")
+        .about("Shows and changes the configuration")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("show")
+                .about("Prints the configuration in force; its version goes to standard error")
+                .arg(operator_arg()),
+        )
+        .subcommand(accept_command())
+        .subcommand(
+            Command::new("history")
+                .about("Lists the latest changes")
+                .arg(operator_arg())
+                .arg(json_arg()),
+        )
+}
+
+fn accept_command() -> Command {
+    let text = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_name("TEXT").help(help).default_value("")
+    };
+    Command::new("accept")
+        .about("Puts a configuration in force, if no other change came first")
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .help("The configuration, JSON")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("base")
+                .long("base")
+                .value_name("VERSION")
+                .help("The version that the change starts from")
+                .required(true)
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(text("by", "Who makes the change"))
+        .arg(text("note", "Why"))
+        .arg(
+            text("operation", "Operation id of an earlier try, to repeat it")
+                .long_help("Drawn and printed if left out; repeat an unsettled change with it"),
+        )
+        .arg(operator_arg())
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// A [`CmdError`].
+pub async fn run(args: &ArgMatches) -> CmdResult {
+    match args.subcommand() {
+        Some(("show", args)) => show(args).await,
+        Some(("accept", args)) => accept(args).await,
+        Some(("history", args)) => history(args).await,
+        _ => Ok(Exit::Done),
+    }
+}
+
+async fn show(args: &ArgMatches) -> CmdResult {
+    let (version, document) = Operator::new(required(args, "operator")).config().await?;
+    eprintln!("version {}", version.0);
+    let value: serde_json::Value = serde_json::from_slice(&document)?;
+    println!("{}", serde_json::to_string_pretty(&value)?);
+    Ok(Exit::Done)
+}
+
+async fn accept(args: &ArgMatches) -> CmdResult {
+    let given: String = required(args, "operation");
+    let operation = match given.is_empty() {
+        true => format!("{:016x}", rand::rng().random::<u64>()),
+        false => given,
+    };
+    let change = ConfigChange {
+        base: ConfigVersion(required(args, "base")),
+        operation,
+        operator: required(args, "by"),
+        note: required(args, "note"),
+        document: std::fs::read(required::<PathBuf>(args, "file"))?,
+    };
+    eprintln!("operation {}", change.operation);
+    let accepted = Operator::new(required(args, "operator")).accept(&change).await?;
+    println!("{}", accepted.message);
+    Ok(match accepted.outcome {
+        AcceptOutcome::Accepted => Exit::Done,
+        AcceptOutcome::Invalid => Exit::Failed,
+        AcceptOutcome::Unsettled => Exit::Unknown,
+        AcceptOutcome::Conflict => Exit::TurnedDown,
+    })
+}
+
+#[derive(Serialize)]
+struct Line {
+    version: u64,
+    operation: String,
+    by: String,
+    note: String,
+}
+
+async fn history(args: &ArgMatches) -> Result<Exit, CmdError> {
+    let changes = Operator::new(required(args, "operator")).history().await?;
+    let lines: Vec<Line> = changes
+        .into_iter()
+        .map(|change| Line {
+            version: change.version.0,
+            operation: change.operation,
+            by: change.operator,
+            note: change.note,
+        })
+        .collect();
+    if args.get_flag("json") {
+        print_json(&lines)?;
+        return Ok(Exit::Done);
+    }
+    for line in lines {
+        println!("{:>6}  {:<18} {:<16} {}", line.version, line.operation, line.by, line.note);
+    }
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/src/cmd/demo.rs
@@ -0,0 +1,151 @@
+//! Usage: `cranberrytray demo [--jobs N] [--tasks N]`
+//!
+//! Runs an entry VM with an embedded platform and four worker stand-ins in this process, submits
+//! jobs over HTTP, and prints what came back.
+
+use super::{CmdError, CmdResult, Exit, exit_of, required};
+use crate::{
+    client::Caller,
+    config::{LogFormat, LogSettings, Settings},
+    daemon::run::run as run_daemon,
+    protocol::callers::ReplyBody,
+    stand::{serve, worker::WorkerStand},
+    state::job::{Answer, JobSpec, TaskSpec},
+    util,
+};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use futures_util::future::join_all;
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{net::TcpListener, sync::oneshot, time::sleep};
+
+/// Slowness of the demo's workers.
+const SLOWNESS: [f64; 4] = [1.0, 1.0, 1.5, 2.0];
+/// Slots of each of them.
+const SLOTS: usize = 8;
+/// Run times of the demo's tasks on the fastest worker, in milliseconds.
+const TASK_MS: [u64; 5] = [50, 60, 80, 120, 400];
+
+/// The arguments.
+pub fn command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("N")
+            .help(help)
+            .default_value(default)
+            .value_parser(value_parser!(u32).range(1..=150))
+    };
+    Command::new("demo")
+        .about("Runs jobs on an entry VM with an embedded platform, all in this process")
+        .arg(number("jobs", "20", "Jobs to submit"))
+        .arg(number("tasks", "12", "Tasks in each job"))
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// A [`CmdError`].
+pub async fn run(args: &ArgMatches) -> CmdResult {
+    util::init_logs(&LogSettings { level: "warn".to_owned(), format: LogFormat::Text });
+    let (jobs, tasks): (u32, u32) = (required(args, "jobs"), required(args, "tasks"));
+    let (stands, addresses) = start_workers().await?;
+    let settings = settings(&addresses).await?;
+    let entry = settings.callers;
+    let (stop, stopped) = oneshot::channel::<()>();
+    let daemon = tokio::spawn(run_daemon(settings, async move {
+        let _ = stopped.await;
+    }));
+    let caller = Caller::new(vec![entry]);
+    let ids = loop {
+        match caller.tickets(jobs).await {
+            Ok(ids) => break ids,
+            Err(_) if !daemon.is_finished() => sleep(Duration::from_millis(20)).await,
+            Err(e) => return Err(e.into()),
+        }
+    };
+    let begun = Instant::now();
+    let spec = job(tasks)?;
+    let replies = join_all(ids.iter().map(|id| caller.submit(id, &spec))).await;
+    let took = begun.elapsed();
+    let mut exit = Exit::Done;
+    let mut outputs = 0;
+    for reply in replies {
+        let reply = reply?;
+        exit = exit.max(exit_of(&reply.body));
+        if let ReplyBody::Answer(Answer::Complete { outputs: all }) = &reply.body {
+            outputs += all.len();
+        }
+    }
+    let starts: Vec<u32> = stands.iter().flat_map(|s| s.starts().into_values()).collect();
+    let most = starts.iter().copied().max().unwrap_or_default();
+    println!(
+        "{jobs} jobs of {tasks} tasks on {} workers: {outputs} outputs in {took:.2?}",
+        stands.len()
+    );
+    println!("{} tasks started, each {most} time at most", starts.len());
+    let again = caller.submit(&ids[0], &spec).await?;
+    println!("the first job submitted again: same answer, no new start: {}", {
+        let after: usize = stands.iter().map(|s| s.starts().len()).sum();
+        exit_of(&again.body) == Exit::Done && after == starts.len()
+    });
+    let _ = stop.send(());
+    if let Ok(ended) = daemon.await {
+        ended?;
+    }
+    Ok(exit)
+}
+
+async fn start_workers() -> Result<(Vec<Arc<WorkerStand>>, Vec<SocketAddr>), CmdError> {
+    let (mut stands, mut addresses) = (Vec::new(), Vec::new());
+    for slowness in SLOWNESS {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        addresses.push(listener.local_addr()?);
+        let stand = Arc::new(WorkerStand::new(SLOTS, slowness));
+        tokio::spawn(serve(Arc::clone(&stand), listener));
+        stands.push(stand);
+    }
+    Ok((stands, addresses))
+}
+
+async fn free_address() -> Result<SocketAddr, CmdError> {
+    Ok(TcpListener::bind("127.0.0.1:0").await?.local_addr()?)
+}
+
+async fn settings(workers: &[SocketAddr]) -> Result<Settings, CmdError> {
+    let workers: Vec<_> = workers
+        .iter()
+        .enumerate()
+        .map(|(i, address)| {
+            let name = format!("worker-{i}");
+            serde_json::json!({ "name": name, "address": address.to_string(), "slots": SLOTS })
+        })
+        .collect();
+    let text = serde_json::json!({
+        "vm": "demo-1",
+        "zone": "demo",
+        "callers": free_address().await?,
+        "peers": free_address().await?,
+        "operators": free_address().await?,
+        "health": free_address().await?,
+        "platform": {
+            "kind": "embedded",
+            "configuration": { "teams": { "drafting": {} } },
+            "workers": workers,
+        },
+    });
+    Ok(Settings::parse("demo", &text.to_string())?)
+}
+
+fn job(tasks: u32) -> Result<JobSpec, CmdError> {
+    let mut spec = JobSpec::new("drafting".parse()?, "summary".parse()?).deadline_ms(60_000);
+    for i in 0..tasks as usize {
+        let ms = TASK_MS[i % TASK_MS.len()];
+        spec = spec.task(TaskSpec::new(format!("sleep:{ms} task {i}")).declared_ms(ms));
+    }
+    Ok(spec)
+}
--- /dev/null
+++ b/src/cmd/timeline.rs
@@ -0,0 +1,69 @@
+//! Usage: `cranberrytray timeline [JOB] [--limit N] [--operator IP:PORT] [--json]`
+//!
+//! Shows the latest events of all entry VMs in one order, or those of one job.
+
+use super::{CmdResult, Exit, json_arg, operator_arg, print_json, required};
+use crate::client::Operator;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use serde::Serialize;
+
+/// The arguments.
+pub fn command() -> Command {
+    Command::new("timeline")
+        .about("Shows the latest events of all entry VMs in one order")
+        .arg(Arg::new("job").value_name("JOB").help("Only events of this job id"))
+        .arg(
+            Arg::new("limit")
+                .long("limit")
+                .value_name("N")
+                .help("Events at most")
+                .default_value("200")
+                .value_parser(value_parser!(u32)),
+        )
+        .arg(operator_arg())
+        .arg(json_arg())
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    at_unix_us: u64,
+    vm: &'a str,
+    sequence: u64,
+    kind: &'a str,
+    cause: &'a str,
+    detail: &'a str,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// A [`super::CmdError`].
+pub async fn run(args: &ArgMatches) -> CmdResult {
+    let job = args.get_one::<String>("job").map_or("", String::as_str);
+    let operator = Operator::new(required(args, "operator"));
+    let (events, missing) = operator.timeline(job, required(args, "limit")).await?;
+    let first = events.first().map_or(0, |event| event.at_unix_us);
+    for event in &events {
+        if args.get_flag("json") {
+            print_json(&Line {
+                at_unix_us: event.at_unix_us,
+                vm: &event.vm,
+                sequence: event.sequence,
+                kind: &event.kind,
+                cause: &event.cause,
+                detail: &event.detail,
+            })?;
+            continue;
+        }
+        let ms = (event.at_unix_us - first) as f64 / 1_000.0;
+        println!(
+            "{ms:>12.3} ms  {:<14} {:<16} {:<48} {}",
+            event.vm, event.kind, event.cause, event.detail
+        );
+    }
+    for vm in &missing {
+        eprintln!("not asked: {vm} can't be reached");
+    }
+    Ok(if missing.is_empty() { Exit::Done } else { Exit::Unknown })
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,331 @@
+//! Settings: JSON with comments, checked when they are loaded.
+
+use crate::{
+    coordination::{configuration::Configuration, members::MemberInfo},
+    protocol::callers::Limits,
+    state::{
+        id::{VmName, ZoneName},
+        policy::Policy,
+        pool::WorkerInfo,
+    },
+};
+use derive_more::{Display, Error};
+use json_comments::StripComments;
+use miette::Diagnostic;
+use serde::{Deserialize, Serialize};
+use std::{io::Read, net::SocketAddr, path::Path, time::Duration};
+
+/// Why settings can't be used.
+#[derive(Debug, Display, Error, Diagnostic)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[display("{file}: can't be read")]
+    #[diagnostic(code(settings::file), help("check the path given with --settings"))]
+    Read {
+        /// The file.
+        file: String,
+        /// Why.
+        #[error(source)]
+        cause: std::io::Error,
+    },
+    /// A field is missing, unknown, or of the wrong type.
+    #[display("{file}: {field}: {message}")]
+    #[diagnostic(code(settings::field), help("docs/OPERATIONS.md lists every field"))]
+    Field {
+        /// The file.
+        file: String,
+        /// The field.
+        field: String,
+        /// What is wrong.
+        message: String,
+    },
+    /// A field has a value that is not allowed.
+    #[display("{file}: {field}: is {value}, allowed is {allowed}")]
+    #[diagnostic(code(settings::value), help("change the field to an allowed value"))]
+    Value {
+        /// The file.
+        file: String,
+        /// The field.
+        field: String,
+        /// The value found.
+        value: String,
+        /// What is allowed.
+        allowed: String,
+    },
+}
+
+/// Where the platform's services are.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum PlatformSettings {
+    /// The platform's own service.
+    Service {
+        /// IP address and port.
+        address: SocketAddr,
+        /// Time between two reads of the configuration's version and the lists, in milliseconds.
+        #[serde(default = "default_poll_ms")]
+        poll_ms: u64,
+        /// Longest wait for one answer, in milliseconds.
+        #[serde(default = "default_timeout_ms")]
+        timeout_ms: u64,
+    },
+    /// No platform: configuration, entry VMs and workers are named here.
+    Embedded {
+        /// The first configuration, version 1.
+        configuration: Configuration,
+        /// The entry VMs of the site; empty means just this one. The first of them keeps the
+        /// configuration and is the only one that accepts changes.
+        #[serde(default)]
+        members: Vec<MemberInfo>,
+        /// The workers of this zone.
+        workers: Vec<WorkerInfo>,
+    },
+}
+
+fn default_poll_ms() -> u64 {
+    2_000
+}
+
+fn default_timeout_ms() -> u64 {
+    1_500
+}
+
+/// How logs are written.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One JSON object a line.
+    #[default]
+    #[display("json")]
+    Json,
+    /// For a person.
+    #[display("text")]
+    Text,
+}
+
+/// Which logs are written and how.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// The lowest level written: `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: String,
+    /// The format.
+    pub format: LogFormat,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        LogSettings { level: "info".to_owned(), format: LogFormat::default() }
+    }
+}
+
+/// The settings of one `cranberrytrayd`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of this entry VM.
+    pub vm: VmName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where callers are served (HTTP).
+    pub callers: SocketAddr,
+    /// Where peers are served (Cap'n Proto RPC).
+    pub peers: SocketAddr,
+    /// Where operators are served (Cap'n Proto RPC).
+    pub operators: SocketAddr,
+    /// Where metrics and the balancer's checks are served (HTTP).
+    pub health: SocketAddr,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// Peers asked for the configuration at the start, also when the platform is down.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Bounds on what callers may send.
+    #[serde(default)]
+    pub limits: Limits,
+    /// How the dispatcher decides.
+    #[serde(default)]
+    pub policy: Policy,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Longest time that leaving may take, in milliseconds.
+    #[serde(default = "default_leave_ms")]
+    pub leave_ms: u64,
+    /// Time between two heartbeats to a zone peer, in milliseconds.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
+    /// Events kept for the time line.
+    #[serde(default = "default_timeline_events")]
+    pub timeline_events: usize,
+}
+
+fn default_leave_ms() -> u64 {
+    330_000
+}
+
+fn default_heartbeat_ms() -> u64 {
+    500
+}
+
+fn default_timeline_events() -> usize {
+    65_536
+}
+
+impl Settings {
+    /// Reads settings from a file and checks them.
+    ///
+    /// # Errors
+    ///
+    /// A [`SettingsError`] that names file, field and what is allowed; its source is the I/O
+    /// error if the file can't be read.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|cause| SettingsError::Read { file: file.clone(), cause })?;
+        Settings::parse(&file, &text)
+    }
+
+    /// Reads settings from a text; `file` names it in errors.
+    ///
+    /// ```
+    /// use cranberrytray::config::Settings;
+    ///
+    /// let e = Settings::parse("x.json", r#"{ "vm": "Upper" /* not allowed */ }"#).unwrap_err();
+    /// assert!(e.to_string().starts_with("x.json: vm: "));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// A [`SettingsError`] that names the field.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let field = |field: String, message: String| SettingsError::Field {
+            file: file.to_owned(),
+            field,
+            message,
+        };
+        let mut json = String::new();
+        StripComments::new(text.as_bytes())
+            .read_to_string(&mut json)
+            .map_err(|e| field(".".to_owned(), e.to_string()))?;
+        let mut de = serde_json::Deserializer::from_str(&json);
+        let settings: Settings = serde_path_to_error::deserialize(&mut de)
+            .map_err(|e| field(e.path().to_string(), e.inner().to_string()))?;
+        de.end().map_err(|e| field(".".to_owned(), e.to_string()))?;
+        settings.check(file)?;
+        Ok(settings)
+    }
+
+    /// Checks values that the types allow but the daemon can't use.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Value`].
+    pub fn check(&self, file: &str) -> Result<(), SettingsError> {
+        let check = Check { file };
+        self.check_addresses(&check)?;
+        self.check_limits(&check)?;
+        self.check_policy(&check)?;
+        check.range("heartbeat_ms", self.heartbeat_ms, 50, 2_000)?;
+        check.range("timeline_events", self.timeline_events as u64, 16, 10_000_000)?;
+        check.range("leave_ms", self.leave_ms, 1, 3_600_000)?;
+        let levels = ["error", "warn", "info", "debug", "trace"];
+        let known = levels.contains(&self.log.level.as_str());
+        check.that(known, "log.level", &self.log.level, &levels.join(", "))?;
+        self.check_platform(&check)
+    }
+
+    fn check_addresses(&self, check: &Check<'_>) -> Result<(), SettingsError> {
+        let named = [
+            ("callers", self.callers),
+            ("peers", self.peers),
+            ("operators", self.operators),
+            ("health", self.health),
+        ];
+        for (i, (name, address)) in named.iter().enumerate() {
+            let same = named[..i].iter().any(|(_, other)| other == address);
+            check.that(!same, name, address, "an address of its own")?;
+        }
+        Ok(())
+    }
+
+    fn check_limits(&self, check: &Check<'_>) -> Result<(), SettingsError> {
+        let limits = &self.limits;
+        check.range("limits.max_body_bytes", limits.max_body_bytes as u64, 1_024, 1 << 30)?;
+        check.range("limits.max_tasks", limits.max_tasks as u64, 1, 10_000)?;
+        check.range("limits.max_tickets", u64::from(limits.max_tickets), 1, 100_000)?;
+        check.range("limits.max_requests", limits.max_requests as u64, 1, 1_000_000)?;
+        check.range("limits.header_timeout_ms", limits.header_timeout_ms, 100, 600_000)?;
+        check.range("limits.body_timeout_ms", limits.body_timeout_ms, 100, 600_000)?;
+        check.range("limits.max_header_bytes", limits.max_header_bytes as u64, 8_192, 1 << 20)?;
+        check.range("limits.max_deadline_ms", limits.max_deadline_ms, 1, 3_600_000)
+    }
+
+    fn check_policy(&self, check: &Check<'_>) -> Result<(), SettingsError> {
+        let policy = &self.policy;
+        let weight = policy.waste_weight;
+        let fits = (0.0..=1.0).contains(&weight);
+        check.that(fits, "policy.waste_weight", weight, "0 to 1")?;
+        let share = policy.retry_share;
+        check.that((0.0..=1.0).contains(&share), "policy.retry_share", share, "0 to 1")?;
+        let connections = u64::from(policy.connections_per_worker);
+        check.range("policy.connections_per_worker", connections, 1, 64)?;
+        let life = policy.ticket_life_ms;
+        let deadline = self.limits.max_deadline_ms;
+        check.range("policy.ticket_life_ms", life, deadline, 86_400_000)
+    }
+
+    fn check_platform(&self, check: &Check<'_>) -> Result<(), SettingsError> {
+        match &self.platform {
+            PlatformSettings::Service { poll_ms, timeout_ms, .. } => {
+                check.range("platform.poll_ms", *poll_ms, 100, 4_000)?;
+                check.range("platform.timeout_ms", *timeout_ms, 50, 60_000)
+            }
+            PlatformSettings::Embedded { configuration, members, workers } => {
+                let checked = configuration.check();
+                let message = checked.as_ref().err().map_or(String::new(), ToString::to_string);
+                check.that(checked.is_ok(), "platform.configuration", message, "see above")?;
+                for worker in workers {
+                    let parsed = worker.address.parse::<SocketAddr>().is_ok();
+                    let field = format!("platform.workers.{}.address", worker.name);
+                    check.that(parsed, &field, &worker.address, "an IP address and a port")?;
+                    let field = format!("platform.workers.{}.slots", worker.name);
+                    check.range(&field, u64::from(worker.slots), 1, 4_096)?;
+                }
+                let named = members.is_empty() || members.iter().any(|m| m.vm == self.vm);
+                check.that(named, "platform.members", "without this VM", "a list with this VM")
+            }
+        }
+    }
+
+    /// Time between two heartbeats to a zone peer.
+    pub fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms)
+    }
+}
+
+struct Check<'a> {
+    file: &'a str,
+}
+
+impl Check<'_> {
+    fn that<V>(&self, ok: bool, field: &str, value: V, allowed: &str) -> Result<(), SettingsError>
+    where
+        V: ToString,
+    {
+        if ok {
+            return Ok(());
+        }
+        Err(SettingsError::Value {
+            file: self.file.to_owned(),
+            field: field.to_owned(),
+            value: value.to_string(),
+            allowed: allowed.to_owned(),
+        })
+    }
+
+    fn range(&self, field: &str, value: u64, low: u64, high: u64) -> Result<(), SettingsError> {
+        let fits = (low..=high).contains(&value);
+        self.that(fits, field, value, &format!("{low} to {high}"))
+    }
+}
--- /dev/null
+++ b/src/coordination/scheduler.rs
@@ -0,0 +1,377 @@
+//! Which task goes to which worker, and when. One scheduler serves all shards of an entry VM.
+
+use super::{
+    action::{Action, Event},
+    configuration::{Configuration, TeamRule},
+    lending::Lending,
+};
+use crate::state::{
+    budget::Bucket,
+    health::{Health, Verdict},
+    id::{JobNumber, JobType, TaskRef, TeamName, VmName, WorkerName},
+    job::{JobSpec, Need, StartResult},
+    policy::{Choice, Policy, Sharing},
+    pool::{Pool, Worker, WorkerInfo},
+    queue::{Queue, Waiting},
+    speed::Speeds,
+    time::Moment,
+    waste::{MessageKind, Totals, WasteKind},
+};
+use indexmap::{IndexMap, IndexSet};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::{collections::BTreeSet, time::Duration};
+
+/// Retries that may be saved up.
+const RETRY_LIMIT: f64 = 100.0;
+/// Retries a second that are always allowed.
+const RETRY_FLOOR: f64 = 5.0;
+/// How long a task waits when the retry budget is used up.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Whose slot a task runs on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Slot {
+    /// One of this entry VM.
+    Own,
+    /// One borrowed from a peer.
+    Borrowed(VmName),
+}
+
+/// A task handed to a worker.
+#[derive(Debug)]
+pub struct Running {
+    /// The worker.
+    pub worker: WorkerName,
+    /// Whose slot it uses.
+    pub slot: Slot,
+    /// When it was handed over.
+    pub at: Moment,
+    job_type: JobType,
+    waiting: Waiting,
+    team: TeamName,
+}
+
+/// A task and the worker chosen for it.
+#[derive(Clone, Debug)]
+pub struct Assignment {
+    /// The task.
+    pub task: TaskRef,
+    /// The worker.
+    pub worker: WorkerName,
+    /// Expected run time there.
+    pub expected: Duration,
+}
+
+/// The scheduler of one entry VM.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(super) policy: Policy,
+    pub(super) queue: Queue,
+    pub(super) pool: Pool,
+    pub(super) speeds: Speeds,
+    pub(super) health: Health,
+    pub(super) lending: Lending,
+    pub(super) totals: Totals,
+    pub(super) open_bytes: usize,
+    pub(super) rng: SmallRng,
+    pub(super) quotas: IndexMap<TeamName, Bucket>,
+    pub(super) demand: IndexMap<TeamName, u32>,
+    rules: IndexMap<TeamName, TeamRule>,
+    running: IndexMap<TaskRef, Running>,
+    delayed: Vec<(Moment, TeamName, JobType, Waiting)>,
+    deadlines: BTreeSet<(Moment, JobNumber)>,
+    retries: Bucket,
+    cursor: usize,
+    me: VmName,
+}
+
+impl Scheduler {
+    /// A scheduler without workers or teams.
+    pub fn new(me: VmName, policy: Policy, seed: u64) -> Self {
+        Scheduler {
+            queue: Queue::default().first_come(!policy.fair),
+            policy,
+            pool: Pool::default(),
+            speeds: Speeds::default(),
+            health: Health::default(),
+            lending: Lending::default(),
+            totals: Totals::default(),
+            open_bytes: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            quotas: IndexMap::new(),
+            demand: IndexMap::new(),
+            rules: IndexMap::new(),
+            running: IndexMap::new(),
+            delayed: Vec::new(),
+            deadlines: BTreeSet::new(),
+            retries: Bucket::new(RETRY_FLOOR, RETRY_LIMIT),
+            cursor: 0,
+            me,
+        }
+    }
+
+    /// Takes over the teams' rules.
+    pub fn configure(&mut self, config: &Configuration) {
+        self.rules = config.teams.clone();
+        self.quotas.retain(|team, _| config.teams.contains_key(team));
+    }
+
+    /// The rule of a team, if the team is known.
+    pub fn rule(&self, team: &TeamName) -> Option<&TeamRule> {
+        self.rules.get(team)
+    }
+
+    /// Takes over a list of workers.
+    pub fn workers(&mut self, list: &[WorkerInfo], members: &IndexSet<VmName>) {
+        self.pool.update(list);
+        list.iter().for_each(|info| self.health.enter(&info.name));
+        let pool = &self.pool;
+        self.speeds.retain(|name| pool.get(name).is_some());
+        self.health.retain(|name| pool.get(name).is_some());
+        self.divide(members);
+    }
+
+    /// Divides the slots among the members of the zone.
+    pub fn divide(&mut self, members: &IndexSet<VmName>) {
+        match self.policy.sharing {
+            Sharing::Everywhere => self.pool.own_all(),
+            Sharing::Divided | Sharing::Lending => self.pool.divide(&self.me, members),
+        }
+    }
+
+    /// Puts the tasks of an accepted job into the queue.
+    pub fn enqueue(&mut self, now: Moment, number: JobNumber, spec: &JobSpec, deadline: Moment) {
+        let weight = self.weight(&spec.team);
+        let tasks: Vec<Waiting> = spec
+            .tasks
+            .iter()
+            .enumerate()
+            .map(|(index, task)| Waiting {
+                task: TaskRef { number, index: index as u32 },
+                seconds: self.speeds.seconds(&spec.job_type, task.declared_ms),
+                need: task.need(),
+            })
+            .collect();
+        self.queue.push(&spec.team, weight, &spec.job_type, now, &tasks);
+        self.deadlines.insert((deadline, number));
+        self.open_bytes += spec.bytes();
+    }
+
+    pub(super) fn weight(&self, team: &TeamName) -> f64 {
+        self.rules.get(team).map_or(1.0, |rule| rule.weight)
+    }
+
+    /// Drops what waits of a job that got its answer.
+    pub fn close(&mut self, number: JobNumber, spec: &JobSpec, deadline: Moment) {
+        self.queue.remove(number);
+        self.delayed.retain(|(_, _, _, waiting)| waiting.task.number != number);
+        self.deadlines.remove(&(deadline, number));
+        self.open_bytes = self.open_bytes.saturating_sub(spec.bytes());
+    }
+
+    /// Jobs whose deadline has passed.
+    pub fn due(&self, now: Moment) -> Vec<JobNumber> {
+        let passed = self.deadlines.iter().take_while(|(deadline, _)| *deadline <= now);
+        passed.map(|(_, number)| *number).collect()
+    }
+
+    /// Chooses workers for the next tasks, `limit` at most.
+    pub fn assign(&mut self, now: Moment, limit: usize) -> Vec<Assignment> {
+        let mut assigned = Vec::new();
+        while assigned.len() < limit && !self.queue.is_empty() {
+            let Some(assignment) = self.assign_one(now) else {
+                break;
+            };
+            assigned.push(assignment);
+        }
+        assigned
+    }
+
+    fn assign_one(&mut self, now: Moment) -> Option<Assignment> {
+        let borrowed: IndexMap<WorkerName, u32> =
+            self.lending.held.idle(now).map(|(worker, slots)| (worker.clone(), slots)).collect();
+        let Scheduler { queue, pool, speeds, health, policy, rng, cursor, .. } = self;
+        let mut chooser = Chooser { now, pool, speeds, health, borrowed: &borrowed, rng, cursor };
+        let (waiting, team, (worker, job_type)) = queue.pop(|need, job_type| {
+            let worker = chooser.choose(policy.choice, need)?;
+            Some((worker, job_type.clone()))
+        })?;
+        let expected = waiting.seconds * self.speeds.slowness(&worker);
+        self.occupy(now, waiting, team, worker.clone(), job_type);
+        let expected = Duration::from_secs_f64(expected.clamp(0.0, 1e6));
+        Some(Assignment { task: waiting.task, worker, expected })
+    }
+
+    fn occupy(
+        &mut self,
+        now: Moment,
+        waiting: Waiting,
+        team: TeamName,
+        worker: WorkerName,
+        job_type: JobType,
+    ) {
+        let Some(entry) = self.pool.get_mut(&worker) else {
+            return;
+        };
+        entry.running += 1;
+        let slot = if entry.idle() > 0 {
+            entry.busy += 1;
+            Slot::Own
+        } else {
+            self.lending.held.start(now, &worker).map_or(Slot::Own, Slot::Borrowed)
+        };
+        self.totals.message(MessageKind::Start);
+        self.retries.put(self.policy.retry_share);
+        let running = Running { worker, slot, at: now, job_type, waiting, team };
+        self.running.insert(waiting.task, running);
+    }
+
+    /// Frees the slot of a task.
+    pub fn release(&mut self, task: TaskRef) -> Option<Running> {
+        let running = self.running.swap_remove(&task)?;
+        if let Some(worker) = self.pool.get_mut(&running.worker) {
+            worker.running = worker.running.saturating_sub(1);
+            if running.slot == Slot::Own {
+                worker.busy = worker.busy.saturating_sub(1);
+            }
+        }
+        if let Slot::Borrowed(lender) = &running.slot {
+            self.lending.held.end(&running.worker, lender);
+        }
+        Some(running)
+    }
+
+    /// Learns from the end of a task.
+    pub fn learn(
+        &mut self,
+        now: Moment,
+        running: &Running,
+        result: &StartResult,
+        out: &mut Vec<Action>,
+    ) {
+        let worker = &running.worker;
+        match result {
+            StartResult::Done(_) => {
+                let seconds = (now - running.at).as_secs_f64();
+                self.speeds.learn(&running.job_type, worker, seconds);
+                self.took(worker);
+                self.judge(now, worker, false, out);
+            }
+            StartResult::Failed(_) => {
+                self.took(worker);
+                self.judge(now, worker, true, out);
+            }
+            StartResult::Unknown => self.judge(now, worker, true, out),
+            StartResult::Refused | StartResult::NotSent => {
+                self.totals.waste(WasteKind::RefusedStart);
+                let jitter = self.rng.random();
+                if let Some(worker) = self.pool.get_mut(worker) {
+                    worker.pause(now, jitter);
+                }
+            }
+        }
+    }
+
+    fn took(&mut self, worker: &WorkerName) {
+        if let Some(worker) = self.pool.get_mut(worker) {
+            worker.took();
+        }
+    }
+
+    fn judge(&mut self, now: Moment, worker: &WorkerName, failed: bool, out: &mut Vec<Action>) {
+        if !self.policy.set_aside {
+            return;
+        }
+        let worker = worker.clone();
+        match self.health.learn(now, &worker, failed) {
+            Verdict::Same => {}
+            Verdict::SetAside => out.push(Action::Note(Event::SetAside { worker })),
+            Verdict::Restored => out.push(Action::Note(Event::Restored { worker })),
+        }
+    }
+
+    /// Puts a task that was proved not started back into the queue, at once or after a while.
+    pub fn retry(&mut self, now: Moment, arrived: Moment, running: Running) {
+        let Running { team, job_type, waiting, .. } = running;
+        if self.retries.take(now, 1.0) {
+            let weight = self.weight(&team);
+            self.queue.push(&team, weight, &job_type, arrived, &[waiting]);
+        } else {
+            self.delayed.push((now + RETRY_DELAY, team, job_type, waiting));
+        }
+    }
+
+    /// Brings back tasks whose delay is over.
+    pub fn undelay(&mut self, now: Moment) {
+        let (due, later) = std::mem::take(&mut self.delayed).into_iter().partition(|d| d.0 <= now);
+        self.delayed = later;
+        let due: Vec<(Moment, TeamName, JobType, Waiting)> = due;
+        for (at, team, job_type, waiting) in due {
+            let weight = self.weight(&team);
+            self.queue.push(&team, weight, &job_type, at, &[waiting]);
+        }
+    }
+
+    /// A worker says that it is leaving.
+    pub fn worker_leaving(&mut self, worker: &WorkerName) {
+        if let Some(worker) = self.pool.get_mut(worker) {
+            worker.said_leaving = true;
+        }
+    }
+
+    /// Number of tasks handed to workers and not ended.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Tasks that wait, delayed ones included.
+    pub fn waiting(&self) -> usize {
+        self.queue.len() + self.delayed.len()
+    }
+}
+
+struct Chooser<'a> {
+    now: Moment,
+    pool: &'a Pool,
+    speeds: &'a Speeds,
+    health: &'a Health,
+    borrowed: &'a IndexMap<WorkerName, u32>,
+    rng: &'a mut SmallRng,
+    cursor: &'a mut usize,
+}
+
+impl Chooser<'_> {
+    fn free(&self, worker: &Worker, need: Need) -> bool {
+        let idle = worker.idle() > 0 || self.borrowed.contains_key(&worker.info.name);
+        idle && worker.open(self.now)
+            && worker.info.offers(need)
+            && self.health.allows(self.now, &worker.info.name, worker.running)
+    }
+
+    fn choose(&mut self, choice: Choice, need: Need) -> Option<WorkerName> {
+        let free = self.pool.iter().filter(|worker| self.free(worker, need));
+        let best = match choice {
+            Choice::ExpectedFinish => free.min_by(|a, b| {
+                let slowness = |worker: &Worker| self.speeds.slowness(&worker.info.name);
+                slowness(a).total_cmp(&slowness(b))
+            }),
+            Choice::LeastOutstanding => free.min_by_key(|worker| worker.running),
+            Choice::Random => {
+                let free: Vec<_> = free.collect();
+                match free.len() {
+                    0 => None,
+                    n => free.get(self.rng.random_range(0..n)).copied(),
+                }
+            }
+            Choice::RoundRobin => {
+                let free: Vec<_> = free.collect();
+                *self.cursor = self.cursor.wrapping_add(1);
+                match free.len() {
+                    0 => None,
+                    n => free.get(*self.cursor % n).copied(),
+                }
+            }
+        };
+        best.map(|worker| worker.info.name.clone())
+    }
+}
--- /dev/null
+++ b/src/daemon/metrics.rs
@@ -0,0 +1,61 @@
+//! Metrics in the OpenMetrics text format.
+
+use super::Daemon;
+use crate::coordination::core::Gauges;
+use prometheus_client::{
+    encoding::text::encode,
+    metrics::{counter::ConstCounter, gauge::ConstGauge},
+    registry::Registry,
+};
+
+impl Daemon {
+    /// The present metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// [`std::fmt::Error`] if a value can't be written.
+    pub fn metrics(&self) -> Result<String, std::fmt::Error> {
+        let mut registry = Registry::with_prefix("cranberrytray");
+        let gauges = self.core.gauges(self.now());
+        register_gauges(&mut registry, self, &gauges);
+        register_totals(&mut registry, &gauges);
+        let mut text = String::new();
+        encode(&mut text, &registry)?;
+        Ok(text)
+    }
+}
+
+fn register_gauges(registry: &mut Registry, daemon: &Daemon, gauges: &Gauges) {
+    let values = [
+        ("config_version", "Configuration version in force", daemon.core.config_version().0),
+        ("ready", "Whether new requests should be sent here", u64::from(daemon.is_ready())),
+        ("queued_tasks", "Tasks that wait for a slot", gauges.queued as u64),
+        ("running_tasks", "Tasks handed to workers and not ended", gauges.running as u64),
+        ("owned_slots", "Worker slots of this entry VM", u64::from(gauges.owned)),
+        ("idle_slots", "Idle worker slots of this entry VM", u64::from(gauges.idle)),
+        ("borrowed_slots", "Worker slots borrowed from peers", u64::from(gauges.borrowed)),
+        ("open_jobs", "Jobs without an answer", gauges.open_jobs as u64),
+        ("ledger_entries", "Job ids that the ledger remembers", gauges.entries as u64),
+        ("workers_set_aside", "Workers set aside", gauges.set_aside as u64),
+    ];
+    for (name, help, value) in values {
+        registry.register(name, help, ConstGauge::new(value as i64));
+    }
+}
+
+fn register_totals(registry: &mut Registry, gauges: &Gauges) {
+    let totals = gauges.totals;
+    let values = [
+        ("starts", "Start requests handed to the transport", totals.starts),
+        ("stops", "Stop requests", totals.stops),
+        ("borrows", "Requests to borrow slots", totals.borrows),
+        ("give_backs", "Messages that give slots back", totals.give_backs),
+        ("wasted_refused_starts", "Starts refused or not sent", totals.refused_starts),
+        ("wasted_late_stops", "Stops for tasks that had ended", totals.late_stops),
+        ("wasted_empty_borrows", "Requests to borrow that brought nothing", totals.empty_borrows),
+        ("wasted_unused_loans", "Loans given back unused", totals.unused_loans),
+    ];
+    for (name, help, value) in values {
+        registry.register(name, help, ConstCounter::new(value));
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,14 @@
+//! Data structures without I/O: ids, jobs, the ledger, queues, worker slots and limits.
+
+pub mod budget;
+pub mod health;
+pub mod id;
+pub mod job;
+pub mod ledger;
+pub mod loan;
+pub mod policy;
+pub mod pool;
+pub mod queue;
+pub mod speed;
+pub mod time;
+pub mod waste;
--- /dev/null
+++ b/src/state/time.rs
@@ -0,0 +1,56 @@
+//! Monotonic time as the decision core sees it.
+
+use derive_more::Display;
+use std::{
+    ops::{Add, Sub},
+    time::Duration,
+};
+
+/// A point on one process's monotonic clock, counted from the start of that process.
+///
+/// Moments of different processes can't be compared.
+///
+/// ```
+/// use cranberrytray::state::time::Moment;
+/// use std::time::Duration;
+///
+/// let start = Moment::ZERO;
+/// let later = start + Duration::from_millis(5);
+/// assert_eq!(later - start, Duration::from_millis(5));
+/// assert_eq!(start - later, Duration::ZERO);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+#[display("{:.6}s", _0.as_secs_f64())]
+pub struct Moment(Duration);
+
+impl Moment {
+    /// The start of the process.
+    pub const ZERO: Moment = Moment(Duration::ZERO);
+
+    /// The moment `since_start` after the start of the process.
+    pub const fn new(since_start: Duration) -> Self {
+        Moment(since_start)
+    }
+
+    /// Time passed since the start of the process.
+    pub const fn since_start(self) -> Duration {
+        self.0
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Moment;
+
+    fn add(self, span: Duration) -> Moment {
+        Moment(self.0.saturating_add(span))
+    }
+}
+
+impl Sub for Moment {
+    type Output = Duration;
+
+    /// Time from `earlier` to `self`, zero if `earlier` is later.
+    fn sub(self, earlier: Moment) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,12 @@
+//! Sockets: servers for callers, peers, operators and the balancer; clients of workers, peers and
+//! the platform.
+
+pub mod callers;
+pub mod health;
+pub mod http;
+pub mod operators;
+pub mod peers;
+pub mod platform;
+pub mod rpc;
+pub mod shed;
+pub mod workers;
--- /dev/null
+++ b/src/transport/rpc.rs
@@ -0,0 +1,104 @@
+//! Cap'n Proto connections on the RPC thread, shared by peers and operators.
+
+use crate::protocol::peers::WireError;
+use capnp::capability::FromClientHook;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use derive_more::{Display, Error, From};
+use socket2::SockRef;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    task::spawn_local,
+    time::timeout,
+};
+use tokio_util::compat::{Compat, TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A connection whose other end acknowledges nothing for this long is closed.
+const SILENT_LINK: Duration = Duration::from_secs(10);
+
+/// Why a call to a peer or an operator's address failed.
+#[derive(Debug, Display, Error, From)]
+pub enum RpcError {
+    /// No connection could be made.
+    #[display("connect: {_0}")]
+    Connect(std::io::Error),
+    /// The call failed.
+    #[display("call: {_0}")]
+    Call(capnp::Error),
+    /// The answer can't be read.
+    #[display("answer: {_0}")]
+    Wire(WireError),
+    /// No answer came in time.
+    #[display("no answer in time")]
+    #[from(skip)]
+    Timeout,
+    /// The RPC thread has ended.
+    #[display("the process is stopping")]
+    #[from(skip)]
+    Stopping,
+}
+
+impl RpcError {
+    /// Whether the connection has ended.
+    pub fn is_disconnected(&self) -> bool {
+        matches!(self, RpcError::Call(e) if e.kind == capnp::ErrorKind::Disconnected)
+    }
+
+    /// Whether the process asked is surely not serving: its address refuses connections.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, RpcError::Connect(e) if e.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+}
+
+type Network = VatNetwork<Compat<OwnedReadHalf>>;
+
+fn network(stream: TcpStream, side: Side) -> Network {
+    let (read, write): (OwnedReadHalf, OwnedWriteHalf) = stream.into_split();
+    let (read, write) = (read.compat(), write.compat_write());
+    let mut options = capnp::message::ReaderOptions::new();
+    options.traversal_limit_in_words(Some(64 << 20));
+    VatNetwork::new(read, write, side, options)
+}
+
+/// Connects to the interface served at `address`. To be called within a `LocalSet`.
+///
+/// # Errors
+///
+/// [`RpcError::Connect`] or [`RpcError::Timeout`].
+pub async fn connect<C>(address: SocketAddr) -> Result<C, RpcError>
+where
+    C: FromClientHook,
+{
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting.await.map_err(|_| RpcError::Timeout)??;
+    stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(SILENT_LINK))?;
+    let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
+    let client = system.bootstrap(Side::Server);
+    spawn_local(system);
+    Ok(client)
+}
+
+/// Serves `client` to all who connect. To be called within a `LocalSet`.
+pub async fn serve<C>(listener: TcpListener, client: C)
+where
+    C: FromClientHook + Clone,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let bootstrap = capnp::capability::Client::new(client.clone().into_client_hook());
+        spawn_local(RpcSystem::new(Box::new(network(stream, Side::Server)), Some(bootstrap)));
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,357 @@
+//! A site of separate processes: platform, workers and entry VMs, each on loopback addresses of
+//! its own.
+#![allow(dead_code)]
+
+use cranberrytray::{
+    client::{Caller, JobReply, Operator},
+    protocol::callers::ReplyBody,
+    stand::{platform, platform::PlatformFaults, worker, worker::WorkerFaults},
+    state::job::{Answer, JobSpec, TaskSpec},
+    transport::http::Call,
+};
+use hyper::Method;
+use indexmap::IndexMap;
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use rand::Rng;
+use serde_json::{Value, json};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+use tempfile::TempDir;
+use tokio::time::sleep;
+
+const CALLERS: u16 = 7100;
+const PEERS: u16 = 7101;
+const OPERATORS: u16 = 7102;
+const HEALTH: u16 = 7103;
+const STAND: u16 = 7200;
+const POLL: Duration = Duration::from_millis(20);
+/// Polls before a test gives up: far beyond any expected time, so that a hang ends.
+const MAX_POLLS: usize = 3_000;
+
+/// A loopback address that no other test uses.
+pub fn fresh_ip() -> Ipv4Addr {
+    let mut rng = rand::rng();
+    Ipv4Addr::new(127, rng.random_range(10..250), rng.random(), rng.random_range(1..250))
+}
+
+/// A child process, killed when dropped.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    fn spawn(program: &str, args: &[&str]) -> Self {
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stderr(if std::env::var_os("SHOW_LOGS").is_some() {
+                Stdio::inherit()
+            } else {
+                Stdio::null()
+            })
+            .spawn()
+            .expect("the program starts");
+        Process { child }
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process lives");
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process lives");
+        self.child.wait().expect("the process is ours");
+    }
+
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("the process is ours").is_some()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Vm {
+    pub name: String,
+    pub zone: String,
+    pub ip: Ipv4Addr,
+    pub process: Process,
+}
+
+impl Vm {
+    pub fn callers(&self) -> SocketAddr {
+        (self.ip, CALLERS).into()
+    }
+
+    pub fn peers(&self) -> SocketAddr {
+        (self.ip, PEERS).into()
+    }
+
+    pub fn health(&self) -> SocketAddr {
+        (self.ip, HEALTH).into()
+    }
+
+    pub fn caller(&self) -> Caller {
+        Caller::new(vec![self.callers()])
+    }
+
+    pub fn operator(&self) -> Operator {
+        Operator::new((self.ip, OPERATORS).into())
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let asked = Call::new(Method::GET, "/ready").send(self.health()).await;
+        asked.is_ok_and(|res| res.status == 200)
+    }
+}
+
+pub struct Worker {
+    pub name: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    pub process: Process,
+}
+
+impl Worker {
+    pub async fn set_faults(&self, faults: WorkerFaults) {
+        control(self.address, worker::FAULTS_PATH, &json!(faults)).await;
+    }
+
+    pub async fn starts(&self) -> IndexMap<String, u32> {
+        let res = Call::new(Method::GET, worker::STARTS_PATH).send(self.address).await;
+        res.expect("the worker answers").json().expect("counts")
+    }
+}
+
+async fn control(address: SocketAddr, path: &str, body: &Value) {
+    let call = Call::new(Method::PUT, path).body(body.to_string());
+    assert_eq!(call.send(address).await.expect("the stand-in answers").status, 200);
+}
+
+/// How a site is laid out.
+pub struct Plan {
+    pub vms: Vec<(&'static str, &'static str)>,
+    pub workers: Vec<(&'static str, &'static str, u32)>,
+    pub extra: Value,
+}
+
+impl Plan {
+    /// Entry VMs as (name, zone); workers as (name, zone, slots).
+    pub fn new(
+        vms: &[(&'static str, &'static str)],
+        workers: &[(&'static str, &'static str, u32)],
+    ) -> Self {
+        Plan { vms: vms.to_vec(), workers: workers.to_vec(), extra: json!({}) }
+    }
+
+    /// Settings that every entry VM gets besides.
+    pub fn extra(mut self, extra: Value) -> Self {
+        self.extra = extra;
+        self
+    }
+}
+
+pub struct Site {
+    dir: TempDir,
+    pub platform: Process,
+    pub platform_address: SocketAddr,
+    pub vms: Vec<Vm>,
+    pub workers: Vec<Worker>,
+    extra: Value,
+}
+
+impl Site {
+    pub async fn start(plan: Plan) -> Self {
+        let dir = TempDir::new().expect("a directory");
+        let workers: Vec<Worker> = plan.workers.iter().map(start_worker).collect();
+        let ips: Vec<Ipv4Addr> = plan.vms.iter().map(|_| fresh_ip()).collect();
+        let members: Vec<Value> =
+            plan.vms.iter().zip(&ips).map(|((vm, zone), ip)| member(vm, zone, *ip)).collect();
+        let platform_address: SocketAddr = (fresh_ip(), STAND).into();
+        let lists = lists(&members, &workers, &[]);
+        let configuration = json!({ "teams": { "drafting": {}, "rounds": {} } });
+        let (lists_file, config_file) = (dir.path().join("lists"), dir.path().join("config"));
+        std::fs::write(&lists_file, lists.to_string()).expect("written");
+        std::fs::write(&config_file, configuration.to_string()).expect("written");
+        let platform = Process::spawn(
+            env!("CARGO_BIN_EXE_cranberrytray-stand"),
+            &[
+                "platform",
+                "--listen",
+                &platform_address.to_string(),
+                "--configuration",
+                config_file.to_str().expect("a path"),
+                "--lists",
+                lists_file.to_str().expect("a path"),
+            ],
+        );
+        let mut site =
+            Site { dir, platform, platform_address, vms: Vec::new(), workers, extra: plan.extra };
+        for ((vm, zone), ip) in plan.vms.iter().zip(ips) {
+            let process = site.spawn_vm(vm, zone, ip);
+            site.vms.push(Vm { name: vm.to_string(), zone: zone.to_string(), ip, process });
+        }
+        site.wait_ready().await;
+        site
+    }
+
+    fn spawn_vm(&self, vm: &str, zone: &str, ip: Ipv4Addr) -> Process {
+        let mut settings = json!({
+            "vm": vm,
+            "zone": zone,
+            "callers": format!("{ip}:{CALLERS}"),
+            "peers": format!("{ip}:{PEERS}"),
+            "operators": format!("{ip}:{OPERATORS}"),
+            "health": format!("{ip}:{HEALTH}"),
+            "heartbeat_ms": 100,
+            "log": { "format": "text" },
+            "platform": { "kind": "service", "address": self.platform_address, "poll_ms": 200 },
+        });
+        for (key, value) in self.extra.as_object().into_iter().flatten() {
+            settings[key] = value.clone();
+        }
+        let path = self.settings_path(vm);
+        std::fs::write(&path, settings.to_string()).expect("written");
+        let path = path.to_str().expect("a path");
+        Process::spawn(env!("CARGO_BIN_EXE_cranberrytrayd"), &["--settings", path])
+    }
+
+    fn settings_path(&self, vm: &str) -> PathBuf {
+        self.dir.path().join(format!("{vm}.json"))
+    }
+
+    /// Starts an entry VM again under its old name and address.
+    pub async fn restart_vm(&mut self, at: usize) {
+        let (name, zone, ip) =
+            (self.vms[at].name.clone(), self.vms[at].zone.clone(), self.vms[at].ip);
+        self.vms[at].process = self.spawn_vm(&name, &zone, ip);
+    }
+
+    /// Waits until all entry VMs are ready and know each other.
+    pub async fn wait_ready(&self) {
+        for vm in &self.vms {
+            until(|| vm.is_ready()).await;
+        }
+        for vm in &self.vms {
+            until(|| async {
+                let status = vm.operator().status().await.unwrap_or_default();
+                status.len() == self.vms.len() && status.iter().all(|s| s.ready && s.owned > 0)
+            })
+            .await;
+        }
+    }
+
+    pub async fn platform_faults(&self, faults: PlatformFaults) {
+        control(self.platform_address, platform::FAULTS_PATH, &json!(faults)).await;
+    }
+
+    /// Shows the platform's lists with these workers leaving.
+    pub async fn list_leaving(&self, leaving: &[&str]) {
+        let members: Vec<Value> =
+            self.vms.iter().map(|vm| member(&vm.name, &vm.zone, vm.ip)).collect();
+        let lists = lists(&members, &self.workers, leaving);
+        control(self.platform_address, platform::LISTS_PATH, &lists).await;
+    }
+
+    /// How often each task was started, over all workers that still live.
+    pub async fn starts(&self) -> IndexMap<String, u32> {
+        let mut all = IndexMap::new();
+        for worker in &self.workers {
+            for (task, count) in worker.starts().await {
+                *all.entry(task).or_insert(0) += count;
+            }
+        }
+        all
+    }
+
+    /// Fails the test if any task was started twice.
+    pub async fn assert_no_double_start(&self) {
+        let starts = self.starts().await;
+        let doubles: Vec<_> = starts.iter().filter(|(_, count)| **count > 1).collect();
+        assert!(doubles.is_empty(), "started twice: {doubles:?}");
+    }
+}
+
+fn member(vm: &str, zone: &str, ip: Ipv4Addr) -> Value {
+    json!({
+        "vm": vm,
+        "zone": zone,
+        "peers": format!("{ip}:{PEERS}"),
+        "operators": format!("{ip}:{OPERATORS}"),
+    })
+}
+
+fn lists(members: &[Value], workers: &[Worker], leaving: &[&str]) -> Value {
+    let mut zones = json!({});
+    for worker in workers {
+        let list = &mut zones[&worker.zone]["workers"];
+        if list.is_null() {
+            *list = json!([]);
+        }
+        list.as_array_mut().expect("a list").push(json!({
+            "name": worker.name,
+            "address": worker.address,
+            "slots": 8,
+            "leaving": leaving.contains(&worker.name.as_str()),
+        }));
+    }
+    json!({ "vms": { "vms": members }, "workers": zones })
+}
+
+fn start_worker((name, zone, slots): &(&str, &str, u32)) -> Worker {
+    let address: SocketAddr = (fresh_ip(), STAND).into();
+    let process = Process::spawn(
+        env!("CARGO_BIN_EXE_cranberrytray-stand"),
+        &["worker", "--listen", &address.to_string(), "--slots", &slots.to_string()],
+    );
+    Worker { name: name.to_string(), zone: zone.to_string(), address, process }
+}
+
+/// Polls until `check` holds.
+pub async fn until<F, Fut>(check: F)
+where
+    F: Fn() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    for _ in 0..MAX_POLLS {
+        if check().await {
+            return;
+        }
+        sleep(POLL).await;
+    }
+    panic!("the condition never held");
+}
+
+/// A job of `tasks` tasks that take `ms` each.
+pub fn job(tasks: usize, ms: u64) -> JobSpec {
+    let spec =
+        JobSpec::new("drafting".parse().expect("a name"), "summary".parse().expect("a name"));
+    (0..tasks).fold(spec, |spec, i| spec.task(TaskSpec::new(format!("sleep:{ms} task {i}"))))
+}
+
+pub fn is_complete(reply: &JobReply) -> bool {
+    matches!(reply.body, ReplyBody::Answer(Answer::Complete { .. }))
+}
