Cores under random faults in virtual time

Cause: the promises have to hold for every order of events, which processes can't be driven through; the core has no I/O, so several can be run against plain workers and a platform. What is checked after each step: no task starts twice (I1), versions never go down (I5); at the end: no false not_run (I3), one answer for all who ask (I4), every core drained, no slot lost.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod stand;
 pub mod state;
 pub mod transport;
+pub mod trial;
 pub mod util;
 
 pub(crate) use protocol::cranberrytray_capnp;
--- /dev/null
+++ b/tests/core_random.rs
@@ -0,0 +1,213 @@
+//! Several cores, workers and a platform under random faults, with the invariants checked at each
+//! step. A seed that fails prints the command that repeats it.
+
+use cranberrytray::{
+    coordination::accept::Outcome,
+    state::{
+        id::ConfigVersion,
+        job::{Answer, JobSpec, TaskSpec},
+        policy::{Policy, Sharing},
+        time::Moment,
+    },
+    trial::{
+        worker::Fault,
+        world::{PlatformState, Told, World, WorldPlan},
+    },
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::time::Duration;
+
+const SEEDS: u64 = 150;
+const STEP: Duration = Duration::from_millis(50);
+const STEPS: u32 = 400;
+/// Long enough for every deadline and lease to pass, and every lost slot to come back.
+const SETTLE: Duration = Duration::from_secs(30);
+
+fn world(seed: u64, rng: &mut SmallRng) -> World {
+    let sharing = [Sharing::Lending, Sharing::Divided, Sharing::Everywhere][rng.random_range(0..3)];
+    let policy = Policy { max_queued_tasks: 300, ticket_life_ms: 20_000, ..Policy::default() };
+    let slowness = |rng: &mut SmallRng| rng.random_range(1.0..3.0);
+    let plan = WorldPlan {
+        vms: vec![0, 0, 0, 1, 1],
+        workers: (0..6).map(|i| (i % 2, 3, slowness(rng))).collect(),
+        policy: policy.sharing(sharing),
+        teams: vec![("drafting".parse().unwrap(), Default::default())],
+        seed,
+    };
+    World::new(plan)
+}
+
+fn random_job(rng: &mut SmallRng) -> (JobSpec, Vec<f64>) {
+    let spec = JobSpec::new("drafting".parse().unwrap(), "sort".parse().unwrap());
+    let work: Vec<f64> = (0..rng.random_range(1..8)).map(|_| rng.random_range(0.02..0.4)).collect();
+    let spec = work
+        .iter()
+        .fold(spec, |spec, s| spec.task(TaskSpec::new("").declared_ms((s * 1_000.0) as u64 + 1)));
+    (spec.deadline_ms(rng.random_range(300..4_000)), work)
+}
+
+fn random_vm(rng: &mut SmallRng, world: &World) -> usize {
+    rng.random_range(0..world.vm_count())
+}
+
+fn random_fault(rng: &mut SmallRng, world: &mut World, operation: &mut u64) {
+    let vm = random_vm(rng, world);
+    let worker = rng.random_range(0..world.workers.len());
+    match rng.random_range(0..14) {
+        0 => world.kill_vm(vm),
+        1 => world.freeze_vm(vm),
+        2 => world.thaw_vm(vm),
+        3 if world.core(vm).is_none() => world.start_vm(vm),
+        4 => world.leave_vm(vm),
+        5 => {
+            world.end_leaving_vm(vm);
+        }
+        6 => world.kill_worker(worker),
+        7 => world.fault_worker(worker, Fault::None),
+        8 => {
+            let faults = [Fault::Refuse, Fault::DropBefore, Fault::DropAfter, Fault::FailAll];
+            world.fault_worker(worker, faults[rng.random_range(0..4)]);
+        }
+        9 => world.cut(0, 1),
+        10 => world.heal(),
+        11 => {
+            world.platform = PlatformState {
+                down: rng.random_bool(0.4),
+                lose: if rng.random_bool(0.5) { 0.5 } else { 0.0 },
+                stale: rng.random_bool(0.3),
+            };
+        }
+        12 => world.workers[worker].leaving ^= true,
+        _ => {
+            *operation += 1;
+            let base = world.core(vm).map_or(ConfigVersion(1), |core| core.config_version());
+            world.accept(vm, base, *operation, 2);
+        }
+    }
+}
+
+fn end_faults(world: &mut World) {
+    world.heal();
+    world.platform = PlatformState::default();
+    for vm in 0..world.vm_count() {
+        world.thaw_vm(vm);
+        if world.core(vm).is_none() {
+            world.start_vm(vm);
+        }
+    }
+    for worker in 0..world.workers.len() {
+        world.fault_worker(worker, Fault::None);
+        world.workers[worker].leaving = false;
+    }
+}
+
+fn run_seed(seed: u64) -> World {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut world = world(seed, &mut rng);
+    let mut operation = 0;
+    for step in 1..=STEPS {
+        for _ in 0..rng.random_range(0..3) {
+            let (spec, work) = random_job(&mut rng);
+            let (issuer, via) = (random_vm(&mut rng, &world), random_vm(&mut rng, &world));
+            if !world.is_frozen(issuer) {
+                world.send(issuer, via, spec, work);
+            }
+        }
+        if !world.jobs.is_empty() && rng.random_bool(0.3) {
+            let job = rng.random_range(world.jobs.len().saturating_sub(30)..world.jobs.len());
+            let via = random_vm(&mut rng, &world);
+            match rng.random_bool(0.2) {
+                true => world.cancel(job, via),
+                false => world.submit(job, via),
+            }
+        }
+        if rng.random_bool(0.15) {
+            random_fault(&mut rng, &mut world, &mut operation);
+        }
+        world.run_until(Moment::new(STEP * step));
+    }
+    end_faults(&mut world);
+    world.run_until(world.now() + SETTLE);
+    world.check_told();
+    world
+}
+
+fn seeds() -> Vec<u64> {
+    match std::env::var("SEED").ok().and_then(|text| text.parse().ok()) {
+        Some(seed) => vec![seed],
+        None => (0..SEEDS).collect(),
+    }
+}
+
+fn repeat(seed: u64) -> String {
+    format!("repeat with: SEED={seed} cargo test --test core_random")
+}
+
+#[test]
+fn world_random_faults_keep_invariants() {
+    let mut answered = 0;
+    for seed in seeds() {
+        let world = run_seed(seed);
+        assert!(world.broken.is_empty(), "{:#?}\n{}", world.broken, repeat(seed));
+        for vm in 0..world.vm_count() {
+            let Some(core) = world.core(vm) else { continue };
+            let version = core.config_version();
+            assert_eq!(version, world.latest_version(), "vm {vm}; {}", repeat(seed));
+            assert!(core.is_drained(), "vm {vm} has open jobs; {}", repeat(seed));
+            let gauges = core.gauges(world.now());
+            assert_eq!((gauges.queued, gauges.running), (0, 0), "vm {vm}; {}", repeat(seed));
+            assert_eq!(gauges.borrowed, 0, "vm {vm} kept loans; {}", repeat(seed));
+        }
+        let is_answer = |told: &(Moment, Told)| matches!(told.1, Told::Answer(_));
+        answered += world.jobs.iter().filter(|job| job.told.iter().any(is_answer)).count();
+    }
+    assert!(answered > 0, "no job was ever answered");
+}
+
+#[test]
+fn world_same_seed_gives_same_run() {
+    let (a, b) = (run_seed(7), run_seed(7));
+    assert_eq!(a.notes, b.notes);
+    assert_eq!(a.jobs.len(), b.jobs.len());
+}
+
+#[test]
+fn world_without_faults_completes_every_job() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut world = world(1, &mut rng);
+    world.run_until(Moment::new(Duration::from_secs(1)));
+    for vm in 0..world.vm_count() {
+        let spec = JobSpec::new("drafting".parse().unwrap(), "sort".parse().unwrap());
+        let spec = (0..5).fold(spec, |spec, _| spec.task(TaskSpec::new("").declared_ms(100)));
+        world.send(vm, (vm + 1) % 5, spec, vec![0.1; 5]);
+    }
+    world.run_until(Moment::new(Duration::from_secs(10)));
+    world.check_told();
+    assert!(world.broken.is_empty(), "{:#?}", world.broken);
+    for job in &world.jobs {
+        let complete = |told: &Told| matches!(told, Told::Answer(a) if matches!(a.as_ref(), Answer::Complete { .. }));
+        assert!(job.told.iter().any(|(_, told)| complete(told)), "{:?}", job.told);
+    }
+}
+
+#[test]
+fn accept_two_operators_race_one_wins() {
+    for seed in 0..50 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut world = world(seed, &mut rng);
+        world.platform.lose = 0.5;
+        let first = world.accept(0, ConfigVersion(1), 1, 5);
+        let second = world.accept(3, ConfigVersion(1), 2, 5);
+        assert!(
+            matches!(first, Some(Outcome::Accepted { version: ConfigVersion(2), .. })),
+            "{first:?}"
+        );
+        assert!(matches!(second, Some(Outcome::Conflict(_))), "{second:?}");
+        let again = world.accept(1, ConfigVersion(1), 1, 5);
+        assert!(
+            matches!(again, Some(Outcome::Accepted { version: ConfigVersion(2), .. })),
+            "{again:?}"
+        );
+        assert_eq!(world.latest_version(), ConfigVersion(2));
+    }
+}
