Failures between real processes

Cause: kills, freezes, broken sockets and outages can only be believed between processes. What is there: 14 tests with separate daemons, platform and workers; the workers' own counts of starts are the judge. Covered: issuer killed, issuer frozen past the deadline, worker killed mid-task and before, platform killed, down at a start, answer lost, stale reads, operators racing, entry VM leaving under load and under resubmissions, workers leaving, a zone cut off. Ruled out: network namespaces; relays that can be cut are enough for zones here. Before: none of these was shown.

--- a/src/client.rs
+++ b/src/client.rs
@@ -132,11 +132,14 @@
     })
 }
 
+/// The outcomes of an operator's change.
+pub use wire::AcceptOutcome;
+
 /// How an operator's change ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Accepted {
     /// The outcome.
-    pub outcome: wire::AcceptOutcome,
+    pub outcome: AcceptOutcome,
     /// The version that it made, or that came first.
     pub version: ConfigVersion,
     /// For a person.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -24,7 +24,12 @@
     time::Duration,
 };
 use tempfile::TempDir;
-use tokio::time::sleep;
+use tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::sleep,
+};
 
 const CALLERS: u16 = 7100;
 const PEERS: u16 = 7101;
@@ -156,6 +161,8 @@
     pub vms: Vec<(&'static str, &'static str)>,
     pub workers: Vec<(&'static str, &'static str, u32)>,
     pub extra: Value,
+    first_ip: Option<Ipv4Addr>,
+    relayed: Option<&'static str>,
 }
 
 impl Plan {
@@ -164,7 +171,25 @@
         vms: &[(&'static str, &'static str)],
         workers: &[(&'static str, &'static str, u32)],
     ) -> Self {
-        Plan { vms: vms.to_vec(), workers: workers.to_vec(), extra: json!({}) }
+        Plan {
+            vms: vms.to_vec(),
+            workers: workers.to_vec(),
+            extra: json!({}),
+            first_ip: None,
+            relayed: None,
+        }
+    }
+
+    /// The address of the first entry VM.
+    pub fn first_ip(mut self, ip: Ipv4Addr) -> Self {
+        self.first_ip = Some(ip);
+        self
+    }
+
+    /// Puts relays that can be cut between this zone's entry VMs, and the others and the platform.
+    pub fn relayed(mut self, zone: &'static str) -> Self {
+        self.relayed = Some(zone);
+        self
     }
 
     /// Settings that every entry VM gets besides.
@@ -181,15 +206,29 @@
     pub vms: Vec<Vm>,
     pub workers: Vec<Worker>,
     extra: Value,
+    relays: Vec<Relay>,
+    platform_relay: Option<SocketAddr>,
+    relayed: Option<&'static str>,
 }
 
 impl Site {
     pub async fn start(plan: Plan) -> Self {
         let dir = TempDir::new().expect("a directory");
         let workers: Vec<Worker> = plan.workers.iter().map(start_worker).collect();
-        let ips: Vec<Ipv4Addr> = plan.vms.iter().map(|_| fresh_ip()).collect();
-        let members: Vec<Value> =
+        let mut ips: Vec<Ipv4Addr> = plan.vms.iter().map(|_| fresh_ip()).collect();
+        if let Some(ip) = plan.first_ip {
+            ips[0] = ip;
+        }
+        let mut relays = Vec::new();
+        let mut members: Vec<Value> =
             plan.vms.iter().zip(&ips).map(|((vm, zone), ip)| member(vm, zone, *ip)).collect();
+        if plan.relayed.is_some() {
+            for (member, ip) in members.iter_mut().zip(&ips) {
+                let relay = Relay::start((*ip, PEERS).into()).await;
+                member["peers"] = json!(relay.address);
+                relays.push(relay);
+            }
+        }
         let platform_address: SocketAddr = (fresh_ip(), STAND).into();
         let lists = lists(&members, &workers, &[]);
         let configuration = json!({ "teams": { "drafting": {}, "rounds": {} } });
@@ -208,8 +247,23 @@
                 lists_file.to_str().expect("a path"),
             ],
         );
-        let mut site =
-            Site { dir, platform, platform_address, vms: Vec::new(), workers, extra: plan.extra };
+        let mut platform_relay = None;
+        if plan.relayed.is_some() {
+            let relay = Relay::start(platform_address).await;
+            platform_relay = Some(relay.address);
+            relays.push(relay);
+        }
+        let mut site = Site {
+            dir,
+            platform,
+            platform_address,
+            vms: Vec::new(),
+            workers,
+            extra: plan.extra,
+            relays,
+            platform_relay,
+            relayed: plan.relayed,
+        };
         for ((vm, zone), ip) in plan.vms.iter().zip(ips) {
             let process = site.spawn_vm(vm, zone, ip);
             site.vms.push(Vm { name: vm.to_string(), zone: zone.to_string(), ip, process });
@@ -219,6 +273,10 @@
     }
 
     fn spawn_vm(&self, vm: &str, zone: &str, ip: Ipv4Addr) -> Process {
+        let platform = match self.platform_relay {
+            Some(relay) if self.relayed == Some(zone) => relay,
+            _ => self.platform_address,
+        };
         let mut settings = json!({
             "vm": vm,
             "zone": zone,
@@ -228,7 +286,7 @@
             "health": format!("{ip}:{HEALTH}"),
             "heartbeat_ms": 100,
             "log": { "format": "text" },
-            "platform": { "kind": "service", "address": self.platform_address, "poll_ms": 200 },
+            "platform": { "kind": "service", "address": platform, "poll_ms": 200 },
         });
         for (key, value) in self.extra.as_object().into_iter().flatten() {
             settings[key] = value.clone();
@@ -276,6 +334,16 @@
         control(self.platform_address, platform::LISTS_PATH, &lists).await;
     }
 
+    /// Cuts the relays.
+    pub async fn cut(&self) {
+        self.relays.iter().for_each(|relay| relay.set_open(false));
+    }
+
+    /// Opens the relays again.
+    pub async fn heal(&self) {
+        self.relays.iter().for_each(|relay| relay.set_open(true));
+    }
+
     /// How often each task was started, over all workers that still live.
     pub async fn starts(&self) -> IndexMap<String, u32> {
         let mut all = IndexMap::new();
@@ -330,6 +398,40 @@
     Worker { name: name.to_string(), zone: zone.to_string(), address, process }
 }
 
+/// Passes TCP connections on, until it is cut.
+pub struct Relay {
+    pub address: SocketAddr,
+    open: watch::Sender<bool>,
+}
+
+impl Relay {
+    async fn start(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind((fresh_ip(), PEERS)).await.expect("a free address");
+        let address = listener.local_addr().expect("an address");
+        let (open, gate) = watch::channel(true);
+        tokio::spawn(async move {
+            while let Ok((mut inward, _)) = listener.accept().await {
+                let mut gate = gate.clone();
+                tokio::spawn(async move {
+                    if !*gate.borrow() {
+                        return;
+                    }
+                    let Ok(mut outward) = TcpStream::connect(to).await else { return };
+                    tokio::select! {
+                        _ = copy_bidirectional(&mut inward, &mut outward) => {}
+                        _ = gate.wait_for(|open| !open) => {}
+                    }
+                });
+            }
+        });
+        Relay { address, open }
+    }
+
+    fn set_open(&self, open: bool) {
+        self.open.send_replace(open);
+    }
+}
+
 /// Polls until `check` holds.
 pub async fn until<F, Fut>(check: F)
 where
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,345 @@
+//! Failures that need real processes: kills, freezes, sockets.
+
+mod common;
+
+use common::{Plan, Site, fresh_ip, is_complete, job, until};
+use cranberrytray::{
+    client::{AcceptOutcome, ConfigChange, JobReply},
+    protocol::callers::{OtherState, ReplyBody},
+    stand::{platform::PlatformFaults, worker::WorkerFaults},
+    state::{
+        id::{ConfigVersion, JobId},
+        job::{Answer, FailReason, RefuseReason, TaskReport},
+    },
+};
+use std::time::Duration;
+use tokio::time::sleep;
+
+fn is_unknown(reply: &JobReply) -> bool {
+    matches!(reply.body, ReplyBody::Other(OtherState::Unknown { .. }))
+}
+
+fn not_run(reply: &JobReply) -> Option<RefuseReason> {
+    match &reply.body {
+        ReplyBody::Answer(Answer::NotRun { reason, .. }) => Some(*reason),
+        _ => None,
+    }
+}
+
+fn failed(reply: &JobReply) -> Option<(FailReason, &[TaskReport])> {
+    match &reply.body {
+        ReplyBody::Answer(Answer::Failed { reason, tasks }) => Some((*reason, tasks)),
+        _ => None,
+    }
+}
+
+fn one_zone() -> Plan {
+    Plan::new(&[("a-1", "a"), ("a-2", "a")], &[("w-1", "a", 8), ("w-2", "a", 8)])
+}
+
+async fn ticket(site: &Site, vm: usize) -> JobId {
+    site.vms[vm].caller().tickets(1).await.expect("ids").remove(0)
+}
+
+fn change(base: u64, operation: &str, team: &str) -> ConfigChange {
+    let document = serde_json::json!({ "teams": { "drafting": {}, "rounds": {}, team: {} } });
+    ConfigChange {
+        base: ConfigVersion(base),
+        operation: operation.to_owned(),
+        operator: "test".to_owned(),
+        note: String::new(),
+        document: document.to_string().into_bytes(),
+    }
+}
+
+#[tokio::test]
+async fn issuer_killed_with_tasks_started_stays_unknown() {
+    let mut site = Site::start(one_zone()).await;
+    let id = ticket(&site, 0).await;
+    let spec = job(4, 3_000);
+    let other = site.vms[1].caller();
+    let waiting = tokio::spawn({
+        let (id, spec) = (id.clone(), spec.clone());
+        async move { other.submit(&id, &spec).await }
+    });
+    until(|| async { site.starts().await.len() == 4 }).await;
+    site.vms[0].process.kill();
+    let told = waiting.await.expect("joined").expect("a reply");
+    assert!(is_unknown(&told), "{told:?}");
+    site.restart_vm(0).await;
+    until(|| site.vms[0].is_ready()).await;
+    for vm in &site.vms {
+        let again = vm.caller().submit(&id, &spec).await.expect("a reply");
+        assert!(is_unknown(&again), "{again:?}");
+    }
+    assert_eq!(site.starts().await.len(), 4);
+    site.assert_no_double_start().await;
+}
+
+#[tokio::test]
+async fn issuer_frozen_past_deadline_starts_nothing_late() {
+    let plan = Plan::new(&[("a-1", "a"), ("a-2", "a")], &[("w-1", "a", 4)]);
+    let site =
+        Site::start(plan.extra(serde_json::json!({ "policy": { "admission": false } }))).await;
+    let id = ticket(&site, 0).await;
+    // More tasks than slots: some still wait when the issuer freezes.
+    let spec = job(12, 400).deadline_ms(1_000);
+    let other = site.vms[1].caller();
+    let waiting = tokio::spawn({
+        let (id, spec) = (id.clone(), spec.clone());
+        async move { other.submit(&id, &spec).await }
+    });
+    until(|| async { !site.starts().await.is_empty() }).await;
+    site.vms[0].process.freeze();
+    let told = waiting.await.expect("joined").expect("a reply");
+    assert!(is_unknown(&told), "{told:?}");
+    let before = site.starts().await.len();
+    site.vms[0].process.resume();
+    let later = site.vms[1].caller().get(&id, Duration::from_secs(5)).await.expect("a reply");
+    let (reason, tasks) = failed(&later).expect("failed");
+    assert_eq!(reason, FailReason::Deadline);
+    assert!(tasks.contains(&TaskReport::NotStarted));
+    assert_eq!(site.starts().await.len(), before);
+    site.assert_no_double_start().await;
+}
+
+#[tokio::test]
+async fn worker_killed_with_task_started_fails_job_whole() {
+    let plan = Plan::new(&[("a-1", "a"), ("a-2", "a")], &[("w-1", "a", 8), ("w-2", "a", 8)]);
+    let mut site = Site::start(plan).await;
+    let id = ticket(&site, 0).await;
+    let spec = job(12, 5_000);
+    let caller = site.vms[0].caller();
+    let waiting = tokio::spawn({
+        let (id, spec) = (id.clone(), spec.clone());
+        async move { caller.submit(&id, &spec).await }
+    });
+    until(|| async { !site.workers[0].starts().await.is_empty() }).await;
+    until(|| async { !site.workers[1].starts().await.is_empty() }).await;
+    site.workers[0].process.kill();
+    let told = waiting.await.expect("joined").expect("a reply");
+    let (reason, tasks) = failed(&told).expect("failed");
+    assert_eq!(reason, FailReason::TaskUnknown);
+    assert_eq!(tasks.len(), 12);
+    assert!(tasks.contains(&TaskReport::Unknown));
+    let again = site.vms[1].caller().submit(&id, &spec).await.expect("a reply");
+    assert_eq!(told, again);
+    let starts = site.workers[1].starts().await;
+    assert!(starts.values().all(|count| *count == 1), "{starts:?}");
+}
+
+#[tokio::test]
+async fn worker_dead_from_the_start_is_passed_over() {
+    let mut site = Site::start(one_zone()).await;
+    site.workers[0].process.kill();
+    let caller = site.vms[0].caller();
+    let ids = caller.tickets(10).await.expect("ids");
+    for id in &ids {
+        let reply = caller.submit(id, &job(3, 20)).await.expect("a reply");
+        assert!(is_complete(&reply), "{reply:?}");
+    }
+    let starts = site.workers[1].starts().await;
+    assert_eq!(starts.len(), 30);
+    assert!(starts.values().all(|count| *count == 1), "{starts:?}");
+}
+
+#[tokio::test]
+async fn platform_killed_jobs_go_on() {
+    let mut site = Site::start(one_zone()).await;
+    site.platform.kill();
+    let caller = site.vms[0].caller();
+    for id in caller.tickets(10).await.expect("ids") {
+        let reply = site.vms[1].caller().submit(&id, &job(4, 20)).await.expect("a reply");
+        assert!(is_complete(&reply), "{reply:?}");
+    }
+    let unsettled = site.vms[0].operator().accept(&change(1, "op-1", "x")).await.expect("a reply");
+    assert_eq!(unsettled.outcome, AcceptOutcome::Unsettled);
+    site.assert_no_double_start().await;
+}
+
+#[tokio::test]
+async fn platform_down_restarted_vm_learns_from_seed() {
+    let ip = fresh_ip();
+    let plan = Plan::new(&[("a-1", "a"), ("a-2", "a")], &[("w-1", "a", 8)]).first_ip(ip);
+    let plan = plan.extra(serde_json::json!({ "seeds": [format!("{ip}:7101")] }));
+    let mut site = Site::start(plan).await;
+    let accepted = site.vms[0].operator().accept(&change(1, "op-1", "new")).await.expect("a reply");
+    assert_eq!(accepted.outcome, AcceptOutcome::Accepted);
+    site.platform_faults(PlatformFaults { down: true, ..Default::default() }).await;
+    site.vms[1].process.kill();
+    site.restart_vm(1).await;
+    site.wait_ready().await;
+    let status = site.vms[1].operator().status().await.expect("a reply");
+    assert!(status.iter().all(|vm| vm.version == ConfigVersion(2)), "{status:?}");
+    let id = ticket(&site, 1).await;
+    let reply = site.vms[1].caller().submit(&id, &job(4, 20)).await.expect("a reply");
+    assert!(is_complete(&reply), "{reply:?}");
+}
+
+#[tokio::test]
+async fn platform_loses_answer_change_lands_once() {
+    let site = Site::start(one_zone()).await;
+    site.platform_faults(PlatformFaults { lose_write_answers: 1, ..Default::default() }).await;
+    let first = site.vms[0].operator().accept(&change(1, "op-1", "x")).await.expect("a reply");
+    assert_eq!((first.outcome, first.version), (AcceptOutcome::Accepted, ConfigVersion(2)));
+    let again = site.vms[1].operator().accept(&change(1, "op-1", "x")).await.expect("a reply");
+    assert_eq!((again.outcome, again.version), (AcceptOutcome::Accepted, ConfigVersion(2)));
+    let other = site.vms[1].operator().accept(&change(1, "op-2", "y")).await.expect("a reply");
+    assert_eq!((other.outcome, other.version), (AcceptOutcome::Conflict, ConfigVersion(2)));
+    let history = site.vms[1].operator().history().await.expect("a reply");
+    assert_eq!(history.len(), 1);
+}
+
+#[tokio::test]
+async fn platform_reads_stale_row_version_stays() {
+    let site = Site::start(one_zone()).await;
+    let accepted = site.vms[0].operator().accept(&change(1, "op-1", "x")).await.expect("a reply");
+    assert_eq!(accepted.outcome, AcceptOutcome::Accepted);
+    site.platform_faults(PlatformFaults { stale_reads: true, ..Default::default() }).await;
+    // Several polls of 200 ms each read the row before the latest.
+    for _ in 0..20 {
+        for vm in site.vms[0].operator().status().await.expect("a reply") {
+            assert!(vm.vm.as_str() != "a-1" || vm.version == ConfigVersion(2), "{vm:?}");
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test]
+async fn operators_race_one_wins_and_all_vms_follow() {
+    let site = Site::start(one_zone()).await;
+    let (first, second) = (site.vms[0].operator(), site.vms[1].operator());
+    let (mine, theirs) = (change(1, "op-1", "x"), change(1, "op-2", "y"));
+    let (a, b) = tokio::join!(first.accept(&mine), second.accept(&theirs));
+    let outcomes = [a.expect("a reply").outcome, b.expect("a reply").outcome];
+    assert!(outcomes.contains(&AcceptOutcome::Accepted), "{outcomes:?}");
+    assert!(outcomes.contains(&AcceptOutcome::Conflict), "{outcomes:?}");
+    until(|| async {
+        let status = first.status().await.unwrap_or_default();
+        status.iter().all(|vm| vm.version == ConfigVersion(2))
+    })
+    .await;
+    assert_eq!(first.config().await.expect("a reply"), second.config().await.expect("a reply"));
+}
+
+#[tokio::test]
+async fn entry_vm_stopped_cuts_off_nothing_and_hands_over() {
+    let mut site = Site::start(one_zone()).await;
+    let caller = site.vms[0].caller();
+    let ids = caller.tickets(21).await.expect("ids");
+    let (unspent, ids) = ids.split_first().expect("ids");
+    let spec = job(4, 300);
+    let others: Vec<_> = site.vms.iter().map(|vm| vm.caller()).collect();
+    let submissions: Vec<_> =
+        ids.iter().enumerate().map(|(i, id)| others[i % 2].submit(id, &spec)).collect();
+    let stop = async {
+        until(|| async { site.starts().await.len() >= 8 }).await;
+        site.vms[0].process.terminate();
+    };
+    let (replies, ()) = tokio::join!(futures_util::future::join_all(submissions), stop);
+    let replies: Vec<_> = replies.into_iter().map(|reply| reply.expect("a reply")).collect();
+    for reply in &replies {
+        let refused = not_run(reply) == Some(RefuseReason::Leaving);
+        assert!(is_complete(reply) || refused, "{reply:?}");
+    }
+    assert!(replies.iter().any(is_complete));
+    until_ended(&mut site, 0).await;
+    let peer = site.vms[1].caller();
+    for (id, reply) in ids.iter().zip(&replies) {
+        assert_eq!(&peer.get(id, Duration::ZERO).await.expect("a reply"), reply);
+    }
+    let late = peer.submit(unspent, &spec).await.expect("a reply");
+    assert_eq!(not_run(&late), Some(RefuseReason::Leaving));
+    site.assert_no_double_start().await;
+}
+
+async fn until_ended(site: &mut Site, vm: usize) {
+    while !site.vms[vm].process.has_ended() {
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn entry_vm_leaves_under_storm_of_resubmissions() {
+    let plan = Plan::new(
+        &[("a-1", "a"), ("a-2", "a"), ("b-1", "b")],
+        &[("w-1", "a", 8), ("w-2", "a", 8), ("w-3", "b", 8)],
+    );
+    let mut site = Site::start(plan).await;
+    let ids = site.vms[0].caller().tickets(10).await.expect("ids");
+    let spec = job(3, 150);
+    let callers: Vec<_> = site.vms.iter().map(|vm| vm.caller()).collect();
+    let storm = ids.iter().map(|id| async {
+        let mut told = Vec::new();
+        for round in 0..8 {
+            let caller = &callers[round % callers.len()];
+            told.push(caller.submit(id, &spec).await);
+        }
+        told
+    });
+    let stop = async { site.vms[0].process.terminate() };
+    let (told, ()) = tokio::join!(futures_util::future::join_all(storm), stop);
+    for told in told {
+        let mut answers: Vec<JobReply> = told.into_iter().filter_map(Result::ok).collect();
+        answers.retain(|reply| !is_unknown(reply));
+        assert!(!answers.is_empty());
+        let bodies: Vec<_> = answers.iter().map(|reply| &reply.body).collect();
+        let all_not_run = answers.iter().all(|reply| not_run(reply).is_some());
+        assert!(all_not_run || bodies.iter().all(|body| *body == bodies[0]), "{bodies:?}");
+    }
+    until_ended(&mut site, 0).await;
+    site.assert_no_double_start().await;
+}
+
+#[tokio::test]
+async fn worker_listed_as_leaving_gets_no_new_task() {
+    let site = Site::start(one_zone()).await;
+    site.list_leaving(&["w-1"]).await;
+    // The list is read every 200 ms; "a few seconds" is the promise.
+    sleep(Duration::from_secs(3)).await;
+    let before = site.workers[0].starts().await.len();
+    let caller = site.vms[0].caller();
+    for id in caller.tickets(10).await.expect("ids") {
+        let reply = caller.submit(&id, &job(6, 20)).await.expect("a reply");
+        assert!(is_complete(&reply), "{reply:?}");
+    }
+    assert_eq!(site.workers[0].starts().await.len(), before);
+    site.assert_no_double_start().await;
+}
+
+#[tokio::test]
+async fn worker_says_it_leaves_gets_no_new_task() {
+    let site = Site::start(one_zone()).await;
+    let leaving = WorkerFaults { leaving: true, ..Default::default() };
+    site.workers[0].set_faults(leaving).await;
+    let caller = site.vms[0].caller();
+    for id in caller.tickets(10).await.expect("ids") {
+        let reply = caller.submit(&id, &job(6, 20)).await.expect("a reply");
+        assert!(is_complete(&reply), "{reply:?}");
+    }
+    assert!(site.workers[0].starts().await.is_empty());
+    site.assert_no_double_start().await;
+}
+
+#[tokio::test]
+async fn zone_cut_off_goes_on_serving_and_gets_config_after() {
+    let plan = Plan::new(&[("a-1", "a"), ("b-1", "b")], &[("w-1", "a", 8), ("w-2", "b", 8)]);
+    let site = Site::start(plan.relayed("b")).await;
+    let own = ticket(&site, 1).await;
+    let foreign = ticket(&site, 0).await;
+    site.cut().await;
+    let caller = site.vms[1].caller();
+    let reply = caller.submit(&own, &job(6, 30)).await.expect("a reply");
+    assert!(is_complete(&reply), "{reply:?}");
+    let told = caller.submit(&foreign, &job(1, 30)).await.expect("a reply");
+    assert!(is_unknown(&told), "{told:?}");
+    let accepted = site.vms[0].operator().accept(&change(1, "op-1", "x")).await.expect("a reply");
+    assert_eq!(accepted.outcome, AcceptOutcome::Accepted);
+    site.heal().await;
+    until(|| async {
+        let (version, _) = site.vms[1].operator().config().await.expect("a reply");
+        version == ConfigVersion(2)
+    })
+    .await;
+    site.assert_no_double_start().await;
+}
