--- a/src/client.rs
+++ b/src/client.rs
@@ -132,6 +132,9 @@
     })
 }
 
+/// What is asked of a job that another entry VM issued.
+pub use wire::Verb as PeerVerb;
+
 /// The outcomes of an operator's change.
 pub use wire::AcceptOutcome;
 
--- a/src/coordination/accept.rs
+++ b/src/coordination/accept.rs
@@ -92,6 +92,10 @@
             let version = change.version;
             return Step::Done(Outcome::Accepted { version, row });
         }
+        if row.version < self.proposal.base {
+            // The operator has seen a later row: this read is stale.
+            return self.again(Step::Read);
+        }
         if row.version != self.proposal.base {
             return Step::Done(Outcome::Conflict(row));
         }
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -9,6 +9,7 @@
     },
 };
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Where a task is started.
 pub const START_PATH: &str = "/v1/tasks";
@@ -19,6 +20,10 @@
 /// A worker that is leaving sets this header to `yes` on any answer.
 pub const LEAVING_HEADER: &str = "worker-leaving";
 
+/// A lease ends this long after the job's deadline: by then the entry VM has given the job up and
+/// asked for a stop, so that the lease only matters where that request is lost.
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
+
 /// A request to start one task.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartRequest {
@@ -78,7 +83,7 @@
             team: order.job.team.clone(),
             job_type: order.job.job_type.clone(),
             idempotent: order.job.idempotent,
-            lease_ms: (order.deadline - now).as_millis() as u64,
+            lease_ms: (order.deadline - now + LEASE_MARGIN).as_millis() as u64,
             payload: spec.payload.clone(),
         }
     }
--- /dev/null
+++ b/tests/common/embedded.rs
@@ -0,0 +1,88 @@
+//! An entry VM with an embedded platform and stand-in workers, all within the test process.
+
+use super::fresh_ip;
+use cranberrytray::{
+    client::{Caller, Operator},
+    config::Settings,
+    daemon::run::run,
+    stand::{serve, worker::WorkerStand},
+    transport::http::Call,
+};
+use hyper::Method;
+use serde_json::{Value, json};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+};
+use tokio::{net::TcpListener, sync::oneshot};
+
+pub struct Embedded {
+    pub ip: Ipv4Addr,
+    pub workers: Vec<Arc<WorkerStand>>,
+    _stop: oneshot::Sender<()>,
+}
+
+impl Embedded {
+    /// One entry VM with `workers` workers of two slots each; `extra` is added to its settings.
+    pub async fn start(workers: usize, extra: Value) -> Self {
+        let ip = fresh_ip();
+        let (mut stands, mut list) = (Vec::new(), Vec::new());
+        for i in 0..workers {
+            let listener = TcpListener::bind((fresh_ip(), 7200)).await.expect("a free address");
+            let address = listener.local_addr().expect("an address");
+            let stand = Arc::new(WorkerStand::new(2, 1.0));
+            tokio::spawn(serve(Arc::clone(&stand), listener));
+            stands.push(stand);
+            list.push(json!({ "name": format!("w-{i}"), "address": address, "slots": 2 }));
+        }
+        let mut settings = json!({
+            "vm": "a-1",
+            "zone": "a",
+            "callers": format!("{ip}:7100"),
+            "peers": format!("{ip}:7101"),
+            "operators": format!("{ip}:7102"),
+            "health": format!("{ip}:7103"),
+            "platform": {
+                "kind": "embedded",
+                "configuration": { "teams": { "drafting": {}, "small": { "starts_per_s": 1.0 } } },
+                "workers": list,
+            },
+        });
+        for (key, value) in extra.as_object().into_iter().flatten() {
+            settings[key] = value.clone();
+        }
+        let settings = Settings::parse("test", &settings.to_string()).expect("good settings");
+        let (stop, stopped) = oneshot::channel();
+        tokio::spawn(run(settings, async move {
+            let _ = stopped.await;
+        }));
+        let vm = Embedded { ip, workers: stands, _stop: stop };
+        super::until(|| async {
+            let ready = Call::new(Method::GET, "/ready").send((ip, 7103).into()).await;
+            ready.is_ok_and(|res| res.status == 200)
+        })
+        .await;
+        vm
+    }
+
+    pub fn callers(&self) -> SocketAddr {
+        (self.ip, 7100).into()
+    }
+
+    pub fn peers(&self) -> SocketAddr {
+        (self.ip, 7101).into()
+    }
+
+    pub fn caller(&self) -> Caller {
+        Caller::new(vec![self.callers()])
+    }
+
+    pub fn operator(&self) -> Operator {
+        Operator::new((self.ip, 7102).into())
+    }
+
+    /// All starts that the workers counted.
+    pub fn starts(&self) -> u32 {
+        self.workers.iter().flat_map(|worker| worker.starts().into_values()).sum()
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! its own.
 #![allow(dead_code)]
 
+pub mod embedded;
+
 use cranberrytray::{
     client::{Caller, JobReply, Operator},
     protocol::callers::ReplyBody,
--- /dev/null
+++ b/tests/peers_contract.rs
@@ -0,0 +1,153 @@
+//! The interface between entry VMs, by a table of calls and what they must be answered.
+
+mod common;
+
+use common::embedded::Embedded;
+use cranberrytray::{
+    client::PeerVerb,
+    coordination::{
+        configuration::{ConfigDocument, ConfigRow},
+        members::Pulse,
+    },
+    protocol::peers::Beat,
+    state::{
+        id::{ConfigVersion, JobId, JobNumber},
+        job::Answer,
+        ledger::{ClosedLedger, TagKey, issuer},
+    },
+    transport::peers::{Forward, PeerCall, PeerLinks, run_calls},
+};
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::{path::Path, sync::Arc, time::Duration};
+use tokio::task::LocalSet;
+
+/// One call.
+#[derive(Deserialize)]
+#[serde(tag = "call", rename_all = "snake_case", deny_unknown_fields)]
+enum Step {
+    /// Passes a request on; `job` is `own`, `unspent`, `answered`, `forged` or `stranger`.
+    Forward { verb: String, job: String, body: Option<Value>, status: u16, text: String },
+    /// Pushes a configuration; `in_force` is what the peer then has.
+    Push { version: u64, in_force: u64 },
+    /// Hands over the ledger of an entry VM that left.
+    HandOver,
+    /// Sends a heartbeat; the answer must name the peer and its version.
+    Heartbeat { version: u64 },
+    /// Asks for slots without being a member of the zone; `granted` in total.
+    Borrow { slots: u32, granted: u32 },
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    steps: Vec<Step>,
+    starts: u32,
+}
+
+const KEY: TagKey = TagKey([7; 16]);
+
+fn left_ledger() -> ClosedLedger {
+    let answer = Arc::new(Answer::Complete { outputs: vec!["kept".to_owned()] });
+    ClosedLedger {
+        issuer: issuer("a", "a-9", 99).expect("names"),
+        key: KEY,
+        next: 10,
+        oldest_live: 0,
+        answers: IndexMap::from([(JobNumber(3), (None, answer))]),
+    }
+}
+
+fn left_id(number: u64) -> JobId {
+    let number = JobNumber(number);
+    JobId { issuer: left_ledger().issuer, number, tag: KEY.tag(number) }
+}
+
+async fn run_case(case: Case) {
+    let vm = Embedded::start(2, json!({})).await;
+    let own = vm.caller().tickets(1).await.expect("ids").remove(0);
+    let (links, calls) = PeerLinks::new();
+    let address = vm.peers();
+    let steps = async {
+        for (i, step) in case.steps.into_iter().enumerate() {
+            run_step(i, step, &links, address, &own).await;
+        }
+    };
+    let local = LocalSet::new();
+    local.spawn_local(run_calls(calls));
+    local.run_until(steps).await;
+    assert_eq!(vm.starts(), case.starts);
+}
+
+async fn run_step(
+    i: usize,
+    step: Step,
+    links: &PeerLinks,
+    address: std::net::SocketAddr,
+    own: &JobId,
+) {
+    match step {
+        Step::Forward { verb, job, body, status, text } => {
+            let id = match job.as_str() {
+                "own" => own.clone(),
+                "forged" => JobId { number: JobNumber(5_000), ..own.clone() },
+                "answered" => left_id(3),
+                "unspent" => left_id(4),
+                _ => JobId { issuer: issuer("a", "a-8", 1).expect("names"), ..own.clone() },
+            };
+            let verb = match verb.as_str() {
+                "submit" => PeerVerb::Submit,
+                "cancel" => PeerVerb::Cancel,
+                _ => PeerVerb::Get,
+            };
+            let body = body.map_or(Vec::new(), |body| body.to_string().into_bytes());
+            let wait = Duration::from_secs(20);
+            let forward = Forward { verb, job: id.to_string(), wait, body: body.into() };
+            let reply = links.call(address, |tx| PeerCall::Forward(forward, tx)).await;
+            let reply = reply.expect("an answer");
+            let body = String::from_utf8_lossy(&reply.body).into_owned();
+            assert_eq!(reply.status, status, "step {i}: {body}");
+            assert!(body.contains(&text), "step {i}: {body}");
+        }
+        Step::Push { version, in_force } => {
+            let document = Arc::new(ConfigDocument::default());
+            let row = ConfigRow { version: ConfigVersion(version), document };
+            let pushed = links.call(address, |tx| PeerCall::PushConfig(row, tx)).await;
+            assert_eq!(pushed.expect("an answer"), ConfigVersion(in_force), "step {i}");
+        }
+        Step::HandOver => {
+            let ledger = Box::new(left_ledger());
+            let taken = links.call(address, |tx| PeerCall::HandOver(ledger, tx)).await;
+            taken.expect("an answer");
+        }
+        Step::Heartbeat { version } => {
+            let beat = Beat {
+                from: issuer("a", "a-9", 99).expect("names"),
+                version: ConfigVersion(1),
+                pulse: Pulse::default(),
+                held: Vec::new(),
+            };
+            let answered = links.call(address, |tx| PeerCall::Heartbeat(Box::new(beat), tx)).await;
+            let answered = answered.expect("an answer");
+            assert_eq!(answered.from.vm.as_str(), "a-1", "step {i}");
+            assert_eq!(answered.version, ConfigVersion(version), "step {i}");
+        }
+        Step::Borrow { slots, granted } => {
+            let from = issuer("a", "a-9", 99).expect("names");
+            let lent = links.call(address, |tx| PeerCall::Borrow(from, slots, tx)).await;
+            let total: u32 = lent.expect("an answer").iter().map(|grant| grant.slots).sum();
+            assert_eq!(total, granted, "step {i}");
+        }
+    }
+}
+
+fn peers_case(_path: &Path, text: String) -> datatest_stable::Result<()> {
+    let case: Case = serde_json::from_str(&text)?;
+    tokio::runtime::Runtime::new()?.block_on(run_case(case));
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = peers_case, root = "tests/cases/peers", pattern = r"\.json$" },
+}
