--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands of the command line, one file each.
 
+pub mod bench;
 pub mod cancel;
 pub mod check_settings;
 pub mod config;
@@ -98,6 +99,7 @@
         .subcommand(timeline::command())
         .subcommand(check_settings::command())
         .subcommand(demo::command())
+        .subcommand(bench::command())
 }
 
 /// Runs the subcommand that was asked for.
@@ -116,6 +118,7 @@
         Some(("timeline", args)) => timeline::run(args).await,
         Some(("check-settings", args)) => check_settings::run(args),
         Some(("demo", args)) => demo::run(args).await,
+        Some(("bench", args)) => bench::run(args),
         _ => Ok(Exit::Done),
     }
 }
--- a/src/state/waste.rs
+++ b/src/state/waste.rs
@@ -78,6 +78,18 @@
         }
     }
 
+    /// Adds the totals of another entry VM.
+    pub fn add(&mut self, other: &Totals) {
+        self.starts += other.starts;
+        self.stops += other.stops;
+        self.borrows += other.borrows;
+        self.give_backs += other.give_backs;
+        self.refused_starts += other.refused_starts;
+        self.late_stops += other.late_stops;
+        self.empty_borrows += other.empty_borrows;
+        self.unused_loans += other.unused_loans;
+    }
+
     /// All messages.
     pub fn messages(&self) -> u64 {
         self.starts + self.stops + self.borrows + self.give_backs
--- /dev/null
+++ b/src/trial/scenario.rs
@@ -0,0 +1,116 @@
+//! The scenarios of the policy benchmark: one zone at the brief's size.
+
+use super::{
+    load::{Burst, LoadPlan},
+    measure::{Happening, Scenario, capacity},
+};
+use crate::{
+    coordination::configuration::TeamRule,
+    state::{id::IdError, time::Moment},
+};
+use std::time::Duration;
+
+/// Workers of one zone.
+const WORKERS: usize = 16;
+/// Slots of each.
+const SLOTS: u32 = 8;
+/// The slowest worker takes this many times as long as the fastest.
+const SPREAD: f64 = 3.0;
+/// Callers' traffic by entry VM: one machine is larger than the others.
+const VM_SHARES: [f64; 3] = [1.0, 1.0, 2.0];
+/// When things happen.
+const MIDDLE: Duration = Duration::from_secs(15);
+
+fn workers() -> Vec<(usize, u32, f64)> {
+    let step = (SPREAD - 1.0) / (WORKERS - 1) as f64;
+    (0..WORKERS).map(|i| (0, SLOTS, 1.0 + step * i as f64)).collect()
+}
+
+fn base(name: &'static str, load: f64, span: Duration) -> Result<Scenario, IdError> {
+    let workers = workers();
+    let mut plan = LoadPlan::steady(capacity(&workers) * load, span, VM_SHARES.len())?;
+    plan.vm_shares = VM_SHARES.to_vec();
+    let rules = vec![("drafting".parse()?, TeamRule::default())];
+    let vms = VM_SHARES.len();
+    Ok(Scenario { name, workers, vms, load: plan, rules, happenings: Vec::new() })
+}
+
+/// All scenarios, each `span` long.
+///
+/// # Errors
+///
+/// An [`IdError`] if a name is malformed.
+pub fn all(span: Duration) -> Result<Vec<Scenario>, IdError> {
+    let mut scenarios = vec![
+        base("load-50", 0.5, span)?,
+        base("load-80", 0.8, span)?,
+        base("load-95", 0.95, span)?,
+        base("load-120", 1.2, span)?,
+    ];
+    scenarios.push(small_jobs("load-80-small-jobs", 0.8, span)?);
+    scenarios.push(stragglers(span)?);
+    scenarios.push(happening("fail-fast", Happening::FailFast(0), span)?);
+    scenarios.push(happening("third-leaves", Happening::Leave(0, WORKERS / 3), span)?);
+    scenarios.push(burst(span)?);
+    scenarios.push(cancel_wave(span)?);
+    scenarios.push(two_teams("one-team", 1.0, span)?);
+    scenarios.push(two_teams("flood", FLOOD, span)?);
+    scenarios.push(wrong_declared(span)?);
+    Ok(scenarios)
+}
+
+/// Jobs of at most ten tasks: shows what large jobs do to the ratios.
+fn small_jobs(name: &'static str, load: f64, span: Duration) -> Result<Scenario, IdError> {
+    let mut scenario = base(name, load, span)?;
+    scenario.load.max_tasks = 10;
+    Ok(scenario)
+}
+
+fn stragglers(span: Duration) -> Result<Scenario, IdError> {
+    let mut scenario = base("stragglers", 0.5, span)?;
+    let slow = [3, 8];
+    slow.into_iter().for_each(|at| scenario.workers[at].2 *= 5.0);
+    Ok(scenario)
+}
+
+fn happening(name: &'static str, what: Happening, span: Duration) -> Result<Scenario, IdError> {
+    let mut scenario = base(name, 0.5, span)?;
+    scenario.happenings.push((Moment::new(MIDDLE), what));
+    Ok(scenario)
+}
+
+fn burst(span: Duration) -> Result<Scenario, IdError> {
+    let mut scenario = base("burst-5x", 0.5, span)?;
+    let span = Duration::from_secs(3);
+    scenario.load.burst = Some(Burst { from: Moment::new(MIDDLE), span, factor: 5.0, team: None });
+    Ok(scenario)
+}
+
+fn cancel_wave(span: Duration) -> Result<Scenario, IdError> {
+    let mut scenario = base("cancel-wave", 0.8, span)?;
+    scenario.load.cancel_wave = Some((Moment::new(MIDDLE), 0.8));
+    Ok(scenario)
+}
+
+/// How much more than usual arrives while one team floods.
+const FLOOD: f64 = 6.0;
+
+/// A well-behaved team at a tenth of capacity, and one that may flood: `factor` times its usual
+/// load from the middle on.
+fn two_teams(name: &'static str, factor: f64, span: Duration) -> Result<Scenario, IdError> {
+    let mut scenario = base(name, 0.3, span)?;
+    scenario.load = scenario.load.teams(vec![("rounds".parse()?, 1.0), ("flood".parse()?, 1.0)]);
+    scenario.rules =
+        vec![("rounds".parse()?, TeamRule::default()), ("flood".parse()?, TeamRule::default())];
+    if factor > 1.0 {
+        let from = Moment::new(Duration::from_secs(8));
+        scenario.load.burst = Some(Burst { from, span, factor, team: Some(1) });
+    }
+    Ok(scenario)
+}
+
+fn wrong_declared(span: Duration) -> Result<Scenario, IdError> {
+    let mut scenario = base("wrong-declared", 0.8, span)?;
+    scenario.load.declared_error = 10.0;
+    Ok(scenario)
+}
