--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -149,6 +149,7 @@
             .map(|(index, task)| Waiting {
                 task: TaskRef { number, index: index as u32 },
                 seconds: self.speeds.seconds(&spec.job_type, task.declared_ms),
+                declared_ms: task.declared_ms,
                 need: task.need(),
             })
             .collect();
@@ -253,7 +254,8 @@
         match result {
             StartResult::Done(_) => {
                 let seconds = (now - running.at).as_secs_f64();
-                self.speeds.learn(&running.job_type, worker, seconds);
+                let declared = running.waiting.declared_ms;
+                self.speeds.learn(&running.job_type, declared, worker, seconds);
                 self.took(worker);
                 self.judge(now, worker, false, out);
             }
--- a/src/state/queue.rs
+++ b/src/state/queue.rs
@@ -29,6 +29,8 @@
     pub task: TaskRef,
     /// Expected seconds on a worker of slowness 1.
     pub seconds: f64,
+    /// What its caller expected, in milliseconds.
+    pub declared_ms: Option<u64>,
     /// What it needs.
     pub need: Need,
 }
@@ -36,7 +38,7 @@
 #[derive(Debug)]
 struct Group {
     job_type: JobType,
-    tasks: VecDeque<(u32, f64)>,
+    tasks: VecDeque<Waiting>,
 }
 
 #[derive(Debug)]
@@ -121,7 +123,7 @@
                 ranks.push(rank);
                 Group { job_type: job_type.clone(), tasks: VecDeque::new() }
             });
-            group.tasks.push_back((task.task.index, task.seconds));
+            group.tasks.push_back(*task);
         }
         queue.work += work;
         self.tasks += tasks.len();
@@ -191,7 +193,8 @@
     fn take(&mut self, at: usize, rank: Rank) -> Option<Waiting> {
         let (_, queue) = self.teams.get_index_mut(at)?;
         let group = queue.groups.get_mut(&rank)?;
-        let (index, seconds) = group.tasks.pop_front()?;
+        let waiting = group.tasks.pop_front()?;
+        let seconds = waiting.seconds;
         if group.tasks.is_empty() {
             queue.groups.remove(&rank);
             let empty = match self.ranks.get_mut(&rank.number) {
@@ -210,7 +213,7 @@
         queue.virtual_time += seconds / queue.weight.max(f64::MIN_POSITIVE);
         self.tasks -= 1;
         self.work -= seconds;
-        Some(Waiting { task: TaskRef { number: rank.number, index }, seconds, need: rank.need })
+        Some(waiting)
     }
 
     /// Removes all waiting tasks of a job; returns how many there were.
@@ -226,7 +229,7 @@
             let Some(group) = queue.groups.remove(&rank) else {
                 continue;
             };
-            let work: f64 = group.tasks.iter().map(|(_, seconds)| seconds).sum();
+            let work: f64 = group.tasks.iter().map(|waiting| waiting.seconds).sum();
             removed += group.tasks.len();
             queue.work -= work;
             self.work -= work;
