--- a/schema/cranberrytray.capnp
+++ b/schema/cranberrytray.capnp
@@ -73,6 +73,8 @@
   readConfig @5 () -> (row :ConfigRow, members :Data, workers :Data);
   # The lists are JSON; the workers are those of the sender's zone.
   handOver @6 (ledger :ClosedLedger) -> ();
+  issue @7 (count :UInt32) -> (ids :List(Text));
+  # Job ids of the receiver, for a caller of the sender.
 }
 
 struct VmStatus {
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -41,14 +41,15 @@
         admission: false,
         fair: false,
         set_aside: false,
-        ..Policy::default().sharing(Sharing::Everywhere)
+        ..Policy::default().dispatchers(3).sharing(Sharing::Everywhere)
     };
     vec![
         ("default", Policy::default()),
         ("waste-weight-1", Policy { waste_weight: 1.0, ..Policy::default() }),
-        ("divided", Policy::default().sharing(Sharing::Divided)),
-        ("everywhere", Policy::default().sharing(Sharing::Everywhere)),
-        ("lending-least-outstanding", Policy::default().choice(Choice::LeastOutstanding)),
+        ("three-dispatchers", Policy::default().dispatchers(3)),
+        ("divided", Policy::default().dispatchers(3).sharing(Sharing::Divided)),
+        ("everywhere", Policy::default().dispatchers(3).sharing(Sharing::Everywhere)),
+        ("least-outstanding", Policy::default().choice(Choice::LeastOutstanding)),
         ("no-admission", Policy { admission: false, ..Policy::default() }),
         ("first-come", Policy { fair: false, ..Policy::default() }),
         ("no-set-aside", Policy { set_aside: false, ..Policy::default() }),
--- a/src/config.rs
+++ b/src/config.rs
@@ -268,6 +268,7 @@
         check.that(fits, "policy.waste_weight", weight, "0 to 1")?;
         let share = policy.retry_share;
         check.that((0.0..=1.0).contains(&share), "policy.retry_share", share, "0 to 1")?;
+        check.range("policy.dispatchers", u64::from(policy.dispatchers), 1, 64)?;
         let connections = u64::from(policy.connections_per_worker);
         check.range("policy.connections_per_worker", connections, 1, 64)?;
         let life = policy.ticket_life_ms;
--- a/src/coordination/action.rs
+++ b/src/coordination/action.rs
@@ -129,10 +129,10 @@
         version: ConfigVersion,
     },
     /// The zone's slots were divided anew.
-    #[display("{members} members, {owned} slots own")]
+    #[display("{dispatchers} dispatchers, {owned} slots own")]
     Divided {
         /// Entry VMs that share the zone's workers.
-        members: usize,
+        dispatchers: usize,
         /// Slots that belong to this one.
         owned: u32,
     },
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -108,7 +108,7 @@
     members: Mutex<Members>,
     config: Mutex<InForce>,
     inherited: Mutex<Inherited>,
-    sharing: Mutex<IndexSet<VmName>>,
+    dispatchers: Mutex<IndexSet<VmName>>,
     watch: Mutex<Watch>,
     leaving: AtomicBool,
 }
@@ -117,7 +117,7 @@
     /// The core of `issuer`. `key` makes its ids unguessable, `seed` its random choices.
     pub fn new(issuer: Issuer, key: TagKey, policy: Policy, seed: u64) -> Self {
         let life = policy.ticket_life();
-        let members = Members::new(issuer.vm.clone(), issuer.zone.clone());
+        let members = Members::new(&issuer);
         Core {
             scheduler: Mutex::new(Scheduler::new(issuer.vm.clone(), policy, seed)),
             tickets: Tickets::new(issuer, key, life),
@@ -125,7 +125,7 @@
             members: Mutex::new(members),
             config: Mutex::default(),
             inherited: Mutex::default(),
-            sharing: Mutex::default(),
+            dispatchers: Mutex::default(),
             watch: Mutex::default(),
             leaving: AtomicBool::new(false),
         }
@@ -442,9 +442,29 @@
         self.share_quotas(now);
     }
 
+    fn find_dispatchers(&self, now: Moment) -> IndexSet<VmName> {
+        let count = self.scheduler.lock().policy.dispatchers as usize;
+        self.members.lock().dispatchers(now, self.is_leaving(), count)
+    }
+
+    /// The dispatcher that ids for new jobs should come from, if it is not this entry VM.
+    pub fn dispatcher(&self) -> Option<VmName> {
+        let dispatchers = self.dispatchers.lock();
+        match dispatchers.contains(&self.issuer().vm) {
+            true => None,
+            false => dispatchers.first().cloned(),
+        }
+    }
+
+    /// A peer's process has ended.
+    pub fn lost(&self, now: Moment, peer: &VmName, out: &mut Vec<Action>) {
+        self.members.lock().lost(peer);
+        self.divide(now, out);
+    }
+
     fn divide(&self, now: Moment, out: &mut Vec<Action>) {
-        let members = self.members.lock().sharing(now, self.is_leaving());
-        let mut sharing = self.sharing.lock();
+        let members = self.find_dispatchers(now);
+        let mut sharing = self.dispatchers.lock();
         if *sharing == members {
             return;
         }
@@ -453,7 +473,9 @@
         scheduler.divide(&sharing);
         scheduler.lending.retain(|peer| sharing.contains(peer));
         let owned = scheduler.pool.owned();
-        out.push(Action::Note(Event::Divided { members: sharing.len(), owned }));
+        out.push(Action::Note(Event::Divided { dispatchers: sharing.len(), owned }));
+        drop((scheduler, sharing));
+        self.dispatch(now, out);
     }
 
     fn share_quotas(&self, now: Moment) {
@@ -470,14 +492,14 @@
 
     /// Takes over the platform's list of workers of this zone.
     pub fn workers_listed(&self, now: Moment, list: &[WorkerInfo], out: &mut Vec<Action>) {
-        let sharing = self.members.lock().sharing(now, self.is_leaving());
-        self.scheduler.lock().workers(list, &sharing);
+        let dispatchers = self.find_dispatchers(now);
+        self.scheduler.lock().workers(list, &dispatchers);
         self.dispatch(now, out);
     }
 
     /// Takes over the platform's list of entry VMs.
     pub fn members_listed(&self, now: Moment, list: Vec<MemberInfo>, out: &mut Vec<Action>) {
-        self.members.lock().list(now, list);
+        self.members.lock().list(list);
         self.divide(now, out);
     }
 
@@ -495,6 +517,7 @@
         incarnation: Incarnation,
         pulse: Pulse,
         held: &[SlotCount],
+        out: &mut Vec<Action>,
     ) {
         let mut members = self.members.lock();
         let in_zone = members.zone_peers().any(|peer| peer.vm == *from);
@@ -505,6 +528,8 @@
             let mut scheduler = self.scheduler.lock();
             scheduler.lending.idle_at(from, idle);
             scheduler.lending.lent.renew(now, from, held);
+            drop(scheduler);
+            self.divide(now, out);
         }
     }
 
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -1,15 +1,15 @@
-//! The entry VMs that this one knows, and which of them share the zone's workers.
+//! The entry VMs that this one knows, and which of them dispatch to the zone's workers.
 
 use crate::state::{
-    id::{Incarnation, TeamName, VmName, ZoneName},
+    id::{Incarnation, Issuer, TeamName, VmName, ZoneName},
     time::Moment,
 };
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// A peer that was not heard for this long takes no part in sharing the workers.
-pub const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// A peer that was not heard for this long does not count as a dispatcher.
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
 /// An entry VM as the platform's list describes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,26 +52,33 @@
 #[derive(Debug)]
 pub struct Members {
     me: VmName,
+    incarnation: Incarnation,
     zone: ZoneName,
-    listed: IndexMap<VmName, (MemberInfo, Moment)>,
+    listed: IndexMap<VmName, MemberInfo>,
     heard: IndexMap<VmName, Heard>,
 }
 
 impl Members {
     /// Knows only itself.
-    pub fn new(me: VmName, zone: ZoneName) -> Self {
-        Members { me, zone, listed: IndexMap::new(), heard: IndexMap::new() }
+    pub fn new(me: &Issuer) -> Self {
+        Members {
+            me: me.vm.clone(),
+            incarnation: me.incarnation,
+            zone: me.zone.clone(),
+            listed: IndexMap::new(),
+            heard: IndexMap::new(),
+        }
     }
 
     /// Takes over the platform's list.
-    pub fn list(&mut self, now: Moment, list: Vec<MemberInfo>) {
-        let mut listed = IndexMap::new();
-        for info in list {
-            let since = self.listed.get(&info.vm).map_or(now, |(_, since)| *since);
-            listed.insert(info.vm.clone(), (info, since));
-        }
-        self.heard.retain(|vm, _| listed.contains_key(vm));
-        self.listed = listed;
+    pub fn list(&mut self, list: Vec<MemberInfo>) {
+        self.listed = list.into_iter().map(|info| (info.vm.clone(), info)).collect();
+        self.heard.retain(|vm, _| self.listed.contains_key(vm));
+    }
+
+    /// A peer's process has ended: its connection broke and no new one can be made.
+    pub fn lost(&mut self, vm: &VmName) {
+        self.heard.swap_remove(vm);
     }
 
     /// Learns from a heartbeat.
@@ -82,35 +89,34 @@
         self.heard.insert(vm.clone(), Heard { at: now, incarnation, pulse });
     }
 
-    /// The entry VMs, this one among them, that share the zone's workers now.
-    pub fn sharing(&self, now: Moment, leaving: bool) -> IndexSet<VmName> {
-        let mut sharing: IndexSet<VmName> = self
-            .listed
-            .values()
-            .filter(|(info, since)| self.shares(now, info, *since))
-            .map(|(info, _)| info.vm.clone())
+    /// The dispatchers of the zone: the `count` entry VMs that share its workers now. These are
+    /// the ones that have run longest, so that a new one takes nothing away from them.
+    ///
+    /// Two entry VMs may disagree for a while. That costs refused starts, nothing else: a job is
+    /// started by its issuer only, and a worker's guard keeps a slot from being used twice.
+    pub fn dispatchers(&self, now: Moment, leaving: bool, count: usize) -> IndexSet<VmName> {
+        let mut ranked: Vec<(Incarnation, &VmName)> = self
+            .heard
+            .iter()
+            .filter(|(vm, heard)| self.may_dispatch(now, vm, heard))
+            .map(|(vm, heard)| (heard.incarnation, vm))
             .collect();
-        sharing.shift_remove(&self.me);
-        if !leaving || sharing.is_empty() {
-            sharing.insert(self.me.clone());
+        if !leaving || ranked.is_empty() {
+            ranked.push((self.incarnation, &self.me));
         }
-        sharing.sort();
-        sharing
+        ranked.sort();
+        ranked.into_iter().take(count).map(|(_, vm)| vm.clone()).collect()
     }
 
-    fn shares(&self, now: Moment, info: &MemberInfo, since: Moment) -> bool {
-        if info.zone != self.zone || info.leaving {
-            return false;
-        }
-        match self.heard.get(&info.vm) {
-            Some(heard) => !heard.pulse.leaving && now - heard.at <= SILENCE_LIMIT,
-            None => now - since <= SILENCE_LIMIT,
-        }
+    fn may_dispatch(&self, now: Moment, vm: &VmName, heard: &Heard) -> bool {
+        let listed =
+            self.listed.get(vm).is_some_and(|info| info.zone == self.zone && !info.leaving);
+        listed && !heard.pulse.leaving && now - heard.at <= SILENCE_LIMIT
     }
 
     /// All other listed members.
     pub fn peers(&self) -> impl Iterator<Item = &MemberInfo> {
-        self.listed.values().map(|(info, _)| info).filter(|info| info.vm != self.me)
+        self.listed.values().filter(|info| info.vm != self.me)
     }
 
     /// Other listed members of the same zone.
@@ -135,7 +141,7 @@
 
     /// One listed member.
     pub fn get(&self, vm: &VmName) -> Option<&MemberInfo> {
-        self.listed.get(vm).map(|(info, _)| info)
+        self.listed.get(vm)
     }
 
     /// The incarnation last heard from a member.
--- a/src/daemon/jobs.rs
+++ b/src/daemon/jobs.rs
@@ -42,6 +42,21 @@
 }
 
 impl Daemon {
+    /// Job ids for a caller: those of the zone's dispatcher, which can start their jobs without a
+    /// detour, or else our own. None while leaving, if no peer gives any.
+    pub async fn tickets(self: &Arc<Self>, count: u32) -> Vec<JobId> {
+        let dispatcher = self.core.dispatcher().and_then(|vm| self.peer_address(&vm));
+        if let Some(address) = dispatcher {
+            let issued = self.peers.call(address, |tx| PeerCall::Issue(count, tx)).await;
+            if let Ok(ids) = issued
+                && !ids.is_empty()
+            {
+                return ids;
+            }
+        }
+        self.core.issue(self.now(), count)
+    }
+
     /// Answers a caller's request.
     pub async fn serve(self: &Arc<Self>, req: JobRequest) -> Reply {
         if req.id.issuer == *self.core.issuer() {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -39,6 +39,10 @@
 use timeline::Timeline;
 use tokio::{runtime::Handle, sync::oneshot};
 
+/// An incarnation is the time of the start, so that older processes rank before newer ones, and so
+/// many random bits.
+const INCARNATION_RANDOM_BITS: u32 = 20;
+
 type Waiters = IndexMap<JobNumber, Vec<oneshot::Sender<Arc<Answer>>>>;
 
 /// What was last read from the platform's lists.
@@ -74,10 +78,12 @@
     /// A daemon that does nothing yet; the calls to peers have to be made by the RPC thread.
     pub fn new(settings: Settings, runtime: Handle) -> (Arc<Self>, PeerCalls) {
         let mut rng = rand::rng();
+        let random: u64 = rng.random_range(0..1 << INCARNATION_RANDOM_BITS);
+        let started_ms = timeline::unix_us() / 1_000;
         let issuer = Issuer {
             zone: settings.zone.clone(),
             vm: settings.vm.clone(),
-            incarnation: Incarnation(rng.random()),
+            incarnation: Incarnation(started_ms << INCARNATION_RANDOM_BITS | random),
         };
         let (peers, calls) = PeerLinks::new();
         let daemon = Daemon {
--- a/src/daemon/rounds.rs
+++ b/src/daemon/rounds.rs
@@ -96,18 +96,27 @@
         };
         let beat = Box::new(self.own_beat(&peer.vm, demand));
         let answered = self.peers.call(address, |tx| PeerCall::Heartbeat(beat, tx)).await;
-        if let Ok(theirs) = answered {
-            self.take_beat(&theirs);
-            self.level_config(address, theirs.version).await;
+        match answered {
+            Ok(theirs) => {
+                self.take_beat(&theirs);
+                self.level_config(address, theirs.version).await;
+            }
+            Err(e) if e.is_refused() => {
+                let now = self.now();
+                self.drive(|daemon, out| daemon.core.lost(now, &peer.vm, out));
+            }
+            Err(_) => {}
         }
     }
 
     /// Learns from a peer's heartbeat.
-    pub fn take_beat(&self, beat: &Beat) {
+    pub fn take_beat(self: &Arc<Self>, beat: &Beat) {
         let from = &beat.from;
         self.versions.lock().insert(from.vm.clone(), beat.version);
-        let pulse = beat.pulse.clone();
-        self.core.heard(self.now(), &from.vm, from.incarnation, pulse, &beat.held);
+        let (now, pulse) = (self.now(), beat.pulse.clone());
+        self.drive(|daemon, out| {
+            daemon.core.heard(now, &from.vm, from.incarnation, pulse, &beat.held, out);
+        });
     }
 
     /// Answers a peer's heartbeat with one of our own.
@@ -277,6 +286,7 @@
             let from_seeds = self.learn_from(&self.settings.seeds, !from_platform).await;
             let found = self.core.config_version() > ConfigVersion::default();
             if found && (from_platform || from_seeds) {
+                join_all(self.round_peers(0).iter().map(|peer| self.beat(peer, true))).await;
                 return self.set_ready();
             }
             sleep(START_RETRY).await;
--- a/src/protocol/cranberrytray_capnp.rs
+++ b/src/protocol/cranberrytray_capnp.rs
@@ -2376,6 +2376,8 @@
     pub type ReadConfigResults<> = ::capnp::capability::Results<crate::cranberrytray_capnp::peer::read_config_results::Owned>;
     pub type HandOverParams<> = ::capnp::capability::Params<crate::cranberrytray_capnp::peer::hand_over_params::Owned>;
     pub type HandOverResults<> = ::capnp::capability::Results<crate::cranberrytray_capnp::peer::hand_over_results::Owned>;
+    pub type IssueParams<> = ::capnp::capability::Params<crate::cranberrytray_capnp::peer::issue_params::Owned>;
+    pub type IssueResults<> = ::capnp::capability::Results<crate::cranberrytray_capnp::peer::issue_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -2446,6 +2448,9 @@
         pub fn hand_over_request(&self) -> ::capnp::capability::Request<crate::cranberrytray_capnp::peer::hand_over_params::Owned,crate::cranberrytray_capnp::peer::hand_over_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
         }
+        pub fn issue_request(&self) -> ::capnp::capability::Request<crate::cranberrytray_capnp::peer::issue_params::Owned,crate::cranberrytray_capnp::peer::issue_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn heartbeat(self: ::capnp::capability::Rc<Self>, _: HeartbeatParams<>, _: HeartbeatResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::heartbeat not implemented".to_string()))) }
@@ -2455,6 +2460,7 @@
         fn push_config(self: ::capnp::capability::Rc<Self>, _: PushConfigParams<>, _: PushConfigResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::push_config not implemented".to_string()))) }
         fn read_config(self: ::capnp::capability::Rc<Self>, _: ReadConfigParams<>, _: ReadConfigResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::read_config not implemented".to_string()))) }
         fn hand_over(self: ::capnp::capability::Rc<Self>, _: HandOverParams<>, _: HandOverResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::hand_over not implemented".to_string()))) }
+        fn issue(self: ::capnp::capability::Rc<Self>, _: IssueParams<>, _: IssueResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::issue not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -2491,6 +2497,7 @@
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::push_config(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::read_config(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::hand_over(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::issue(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -5556,6 +5563,414 @@
             pub(crate) const TYPE_ID: u64 = 0x8e61_c720_31f4_42c3;
         }
     }
+
+    pub mod issue_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_count(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_count(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_count(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(142, 34, 176, 40, 240, 104, 37, 173),
+                ::capnp::word(25, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 114, 97, 110, 98, 101, 114, 114),
+                ::capnp::word(121, 116, 114, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+                ::capnp::word(46, 105, 115, 115, 117, 101, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xad25_68f0_28b0_228e;
+        }
+    }
+
+    pub mod issue_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_ids(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_ids(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_ids(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_ids(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_ids(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_ids(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(239, 90, 123, 247, 185, 104, 74, 189),
+                ::capnp::word(25, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 114, 97, 110, 98, 101, 114, 114),
+                ::capnp::word(121, 116, 114, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+                ::capnp::word(46, 105, 115, 115, 117, 101, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(105, 100, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xbd4a_68b9_f77b_5aef;
+        }
+    }
 }
 
 pub mod vm_status {
--- a/src/state/policy.rs
+++ b/src/state/policy.rs
@@ -45,6 +45,8 @@
 pub struct Policy {
     /// How slots are shared.
     pub sharing: Sharing,
+    /// Entry VMs of a zone that share its workers; the others pass jobs on to them.
+    pub dispatchers: u32,
     /// How a worker is chosen.
     pub choice: Choice,
     /// Whether jobs that can't finish in time are refused at once.
@@ -71,6 +73,7 @@
     fn default() -> Self {
         Policy {
             sharing: Sharing::default(),
+            dispatchers: 1,
             choice: Choice::default(),
             admission: true,
             fair: true,
@@ -92,6 +95,12 @@
         self
     }
 
+    /// Sets how many entry VMs of a zone share its workers.
+    pub fn dispatchers(mut self, dispatchers: u32) -> Self {
+        self.dispatchers = dispatchers;
+        self
+    }
+
     /// Sets how a worker is chosen.
     pub fn choice(mut self, choice: Choice) -> Self {
         self.choice = choice;
--- a/src/transport/operators.rs
+++ b/src/transport/operators.rs
@@ -114,6 +114,20 @@
         Ok(())
     }
 
+    async fn issue(
+        self: Rc<Self>,
+        params: wire::peer::IssueParams,
+        mut results: wire::peer::IssueResults,
+    ) -> Result<(), Error> {
+        let count = params.get()?.get_count().min(self.daemon.settings.limits.max_tickets);
+        let ids = self.daemon.core.issue(self.daemon.now(), count);
+        let mut list = results.get().init_ids(ids.len() as u32);
+        for (i, id) in ids.iter().enumerate() {
+            list.set(i as u32, id.to_string().as_str());
+        }
+        Ok(())
+    }
+
     async fn hand_over(
         self: Rc<Self>,
         params: wire::peer::HandOverParams,
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -7,12 +7,12 @@
     protocol::{
         callers::Reply,
         peers::{
-            Beat, read_beat, read_list, read_reply, read_row, read_slots, write_beat, write_ledger,
-            write_member, write_row, write_slots,
+            Beat, WireError, read_beat, read_list, read_reply, read_row, read_slots, write_beat,
+            write_ledger, write_member, write_row, write_slots,
         },
     },
     state::{
-        id::{ConfigVersion, Issuer},
+        id::{ConfigVersion, Issuer, JobId},
         ledger::ClosedLedger,
         loan::SlotCount,
         pool::WorkerInfo,
@@ -30,6 +30,9 @@
 /// Longest wait for the answer to a call that the peer answers at once.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Longest wait for job ids; this entry VM can issue its own instead.
+const ISSUE_TIMEOUT: Duration = Duration::from_millis(300);
+
 type ReplyTo<T> = oneshot::Sender<Result<T, RpcError>>;
 
 /// What a caller asks of a job that another entry VM issued.
@@ -71,6 +74,8 @@
     PushConfig(ConfigRow, ReplyTo<ConfigVersion>),
     /// Asks for the configuration row in force and the platform's lists as last read.
     ReadConfig(ReplyTo<Known>),
+    /// Asks for job ids.
+    Issue(u32, ReplyTo<Vec<JobId>>),
     /// A part of a closed ledger.
     HandOver(Box<ClosedLedger>, ReplyTo<()>),
 }
@@ -149,6 +154,10 @@
             let made = with_client(clients, address, CALL_TIMEOUT, read_config);
             let _ = tx.send(made.await);
         }
+        PeerCall::Issue(count, tx) => {
+            let made = with_client(clients, address, ISSUE_TIMEOUT, |client| issue(client, count));
+            let _ = tx.send(made.await);
+        }
         PeerCall::HandOver(ledger, tx) => {
             let limit = CALL_TIMEOUT * 5;
             let made = with_client(clients, address, limit, |client| hand_over(client, *ledger));
@@ -246,6 +255,17 @@
     })
 }
 
+async fn issue(client: wire::peer::Client, count: u32) -> Result<Vec<JobId>, capnp::Error> {
+    let mut req = client.issue_request();
+    req.get().set_count(count);
+    let res = req.send().promise.await?;
+    let mut ids = Vec::new();
+    for id in res.get()?.get_ids()? {
+        ids.push(id?.to_str()?.parse().map_err(WireError::Id)?);
+    }
+    Ok(ids)
+}
+
 async fn hand_over(client: wire::peer::Client, ledger: ClosedLedger) -> Result<(), capnp::Error> {
     let mut req = client.hand_over_request();
     write_ledger(req.get().init_ledger(), &ledger)?;
--- a/src/trial/measure.rs
+++ b/src/trial/measure.rs
@@ -266,7 +266,8 @@
     let fastest_free = free.fold(f64::INFINITY, f64::min);
     let fastest_free = if fastest_free.is_finite() { fastest_free } else { fastest };
     let team = scenario.load.teams.iter().position(|(team, _)| *team == arrival.spec.team)?;
-    let job = world.send(arrival.vm, arrival.vm, arrival.spec.clone(), arrival.work.clone())?;
+    let issuer = world.issuer_for(arrival.vm);
+    let job = world.send(issuer, arrival.vm, arrival.spec.clone(), arrival.work.clone())?;
     let counted = arrival.at.since_start() >= WARM_UP && arrival.cancel_after.is_none();
     Some(Sent { job, team, fastest_free, counted })
 }
--- a/src/trial/world.rs
+++ b/src/trial/world.rs
@@ -577,6 +577,16 @@
         Some(job)
     }
 
+    /// The entry VM whose ids a caller of `via` gets.
+    pub fn issuer_for(&self, via: usize) -> usize {
+        let dispatcher = self.core(via).and_then(Core::dispatcher);
+        let found = dispatcher.and_then(|name| self.vms.iter().position(|vm| vm.name == name));
+        match found {
+            Some(vm) if self.vms[vm].core.is_some() && !self.vms[vm].frozen => vm,
+            _ => via,
+        }
+    }
+
     /// Submits a job, again or for the first time, through an entry VM.
     pub fn submit(&mut self, job: usize, via: usize) {
         self.request(job, via, |vm, job, from| Ev::Submit { vm, job, from });
@@ -720,7 +730,7 @@
             Ev::Heartbeat { from, incarnation, row, pulse, held, .. } => {
                 let from = self.vms[from].name.clone();
                 self.drive(vm, |core, now, out| {
-                    core.heard(now, &from, incarnation, pulse, &held);
+                    core.heard(now, &from, incarnation, pulse, &held, out);
                     core.offer_config(row, out);
                 });
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,7 +8,10 @@
     client::{Caller, JobReply, Operator},
     protocol::callers::ReplyBody,
     stand::{platform, platform::PlatformFaults, worker, worker::WorkerFaults},
-    state::job::{Answer, JobSpec, TaskSpec},
+    state::{
+        id::JobId,
+        job::{Answer, JobSpec, TaskSpec},
+    },
     transport::http::Call,
 };
 use hyper::Method;
@@ -318,12 +321,23 @@
         for vm in &self.vms {
             until(|| async {
                 let status = vm.operator().status().await.unwrap_or_default();
-                status.len() == self.vms.len() && status.iter().all(|s| s.ready && s.owned > 0)
+                let owners = status.iter().filter(|s| s.owned > 0).count();
+                let mut zones: Vec<_> = self.workers.iter().map(|w| &w.zone).collect();
+                zones.dedup();
+                let ready = status.iter().all(|s| s.ready);
+                status.len() == self.vms.len() && ready && owners == zones.len()
             })
             .await;
         }
     }
 
+    /// The places of the entry VM that issued an id, and of another one.
+    pub fn issuer_and_other(&self, id: &JobId) -> (usize, usize) {
+        let issued = |vm: &Vm| vm.name == id.issuer.vm.as_str();
+        let issuer = self.vms.iter().position(issued).expect("the issuer is of this site");
+        (issuer, (issuer + 1) % self.vms.len())
+    }
+
     pub async fn platform_faults(&self, faults: PlatformFaults) {
         control(self.platform_address, platform::FAULTS_PATH, &json!(faults)).await;
     }
--- a/tests/core_random.rs
+++ b/tests/core_random.rs
@@ -27,6 +27,7 @@
     let sharing = [Sharing::Lending, Sharing::Divided, Sharing::Everywhere][rng.random_range(0..3)];
     let policy = Policy { max_queued_tasks: 300, ticket_life_ms: 20_000, ..Policy::default() };
     let slowness = |rng: &mut SmallRng| rng.random_range(1.0..3.0);
+    let policy = policy.dispatchers(rng.random_range(1..4));
     let plan = WorldPlan {
         vms: vec![0, 0, 0, 1, 1],
         workers: (0..6).map(|i| (i % 2, 3, slowness(rng))).collect(),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -57,17 +57,18 @@
     let mut site = Site::start(one_zone()).await;
     let id = ticket(&site, 0).await;
     let spec = job(4, 3_000);
-    let other = site.vms[1].caller();
+    let (issuer, other) = site.issuer_and_other(&id);
+    let other = site.vms[other].caller();
     let waiting = tokio::spawn({
         let (id, spec) = (id.clone(), spec.clone());
         async move { other.submit(&id, &spec).await }
     });
     until(|| async { site.starts().await.len() == 4 }).await;
-    site.vms[0].process.kill();
+    site.vms[issuer].process.kill();
     let told = waiting.await.expect("joined").expect("a reply");
     assert!(is_unknown(&told), "{told:?}");
-    site.restart_vm(0).await;
-    until(|| site.vms[0].is_ready()).await;
+    site.restart_vm(issuer).await;
+    until(|| site.vms[issuer].is_ready()).await;
     for vm in &site.vms {
         let again = vm.caller().submit(&id, &spec).await.expect("a reply");
         assert!(is_unknown(&again), "{again:?}");
@@ -84,18 +85,20 @@
     let id = ticket(&site, 0).await;
     // More tasks than slots: some still wait when the issuer freezes.
     let spec = job(12, 400).deadline_ms(1_000);
-    let other = site.vms[1].caller();
+    let (issuer, other) = site.issuer_and_other(&id);
+    let later = site.vms[other].caller();
+    let other = site.vms[other].caller();
     let waiting = tokio::spawn({
         let (id, spec) = (id.clone(), spec.clone());
         async move { other.submit(&id, &spec).await }
     });
     until(|| async { !site.starts().await.is_empty() }).await;
-    site.vms[0].process.freeze();
+    site.vms[issuer].process.freeze();
     let told = waiting.await.expect("joined").expect("a reply");
     assert!(is_unknown(&told), "{told:?}");
     let before = site.starts().await.len();
-    site.vms[0].process.resume();
-    let later = site.vms[1].caller().get(&id, Duration::from_secs(5)).await.expect("a reply");
+    site.vms[issuer].process.resume();
+    let later = later.get(&id, Duration::from_secs(5)).await.expect("a reply");
     let (reason, tasks) = failed(&later).expect("failed");
     assert_eq!(reason, FailReason::Deadline);
     assert!(tasks.contains(&TaskReport::NotStarted));
@@ -227,6 +230,7 @@
     let mut site = Site::start(one_zone()).await;
     let caller = site.vms[0].caller();
     let ids = caller.tickets(21).await.expect("ids");
+    let (issuer, other) = site.issuer_and_other(&ids[0]);
     let (unspent, ids) = ids.split_first().expect("ids");
     let spec = job(4, 300);
     let others: Vec<_> = site.vms.iter().map(|vm| vm.caller()).collect();
@@ -234,7 +238,7 @@
         ids.iter().enumerate().map(|(i, id)| others[i % 2].submit(id, &spec)).collect();
     let stop = async {
         until(|| async { site.starts().await.len() >= 8 }).await;
-        site.vms[0].process.terminate();
+        site.vms[issuer].process.terminate();
     };
     let (replies, ()) = tokio::join!(futures_util::future::join_all(submissions), stop);
     let replies: Vec<_> = replies.into_iter().map(|reply| reply.expect("a reply")).collect();
@@ -243,8 +247,8 @@
         assert!(is_complete(reply) || refused, "{reply:?}");
     }
     assert!(replies.iter().any(is_complete));
-    until_ended(&mut site, 0).await;
-    let peer = site.vms[1].caller();
+    until_ended(&mut site, issuer).await;
+    let peer = site.vms[other].caller();
     for (id, reply) in ids.iter().zip(&replies) {
         assert_eq!(&peer.get(id, Duration::ZERO).await.expect("a reply"), reply);
     }
@@ -267,6 +271,7 @@
     );
     let mut site = Site::start(plan).await;
     let ids = site.vms[0].caller().tickets(10).await.expect("ids");
+    let (issuer, _) = site.issuer_and_other(&ids[0]);
     let spec = job(3, 150);
     let callers: Vec<_> = site.vms.iter().map(|vm| vm.caller()).collect();
     let storm = ids.iter().map(|id| async {
@@ -277,7 +282,7 @@
         }
         told
     });
-    let stop = async { site.vms[0].process.terminate() };
+    let stop = async { site.vms[issuer].process.terminate() };
     let (told, ()) = tokio::join!(futures_util::future::join_all(storm), stop);
     for told in told {
         let mut answers: Vec<JobReply> = told.into_iter().filter_map(Result::ok).collect();
@@ -287,7 +292,7 @@
         let all_not_run = answers.iter().all(|reply| not_run(reply).is_some());
         assert!(all_not_run || bodies.iter().all(|body| *body == bodies[0]), "{bodies:?}");
     }
-    until_ended(&mut site, 0).await;
+    until_ended(&mut site, issuer).await;
     site.assert_no_double_start().await;
 }
 
