Revert: tasks wait for a faster worker where that pays

Cause of the try: free slots at 80% load are mostly on slow workers. Conclusion: no patience; the simple rule, the fastest free worker at once, stays.

--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -38,7 +38,6 @@
 /// The policies compared, by name.
 fn policies() -> Vec<(&'static str, Policy)> {
     let plain = Policy {
-        patience: false,
         admission: false,
         fair: false,
         set_aside: false,
@@ -51,7 +50,6 @@
         ("divided", Policy::default().dispatchers(3).sharing(Sharing::Divided)),
         ("everywhere", Policy::default().dispatchers(3).sharing(Sharing::Everywhere)),
         ("least-outstanding", Policy::default().choice(Choice::LeastOutstanding)),
-        ("no-patience", Policy { patience: false, ..Policy::default() }),
         ("no-admission", Policy { admission: false, ..Policy::default() }),
         ("first-come", Policy { fair: false, ..Policy::default() }),
         ("no-set-aside", Policy { set_aside: false, ..Policy::default() }),
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -28,15 +28,6 @@
 /// How long a task waits when the retry budget is used up.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Mean run time assumed before any task was started, in seconds.
-const FIRST_MEAN_SECONDS: f64 = 0.3;
-/// Weight of a new task in the mean run time.
-const MEAN_WEIGHT: f64 = 0.01;
-
-/// A task waits for a faster worker only if that gains so many times the expected wait: those
-/// that come after it have to wait for the same workers.
-const PATIENCE: f64 = 3.0;
-
 /// Whose slot a task runs on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Slot {
@@ -91,8 +82,6 @@
     deadlines: BTreeSet<(Moment, JobNumber)>,
     retries: Bucket,
     cursor: usize,
-    /// Mean of the expected run times of late, in seconds on a worker of slowness 1.
-    mean_seconds: f64,
     me: VmName,
 }
 
@@ -117,7 +106,6 @@
             deadlines: BTreeSet::new(),
             retries: Bucket::new(RETRY_FLOOR, RETRY_LIMIT),
             cursor: 0,
-            mean_seconds: FIRST_MEAN_SECONDS,
             me,
         }
     }
@@ -203,14 +191,10 @@
     fn assign_one(&mut self, now: Moment) -> Option<Assignment> {
         let borrowed: IndexMap<WorkerName, u32> =
             self.lending.held.idle(now).map(|(worker, slots)| (worker.clone(), slots)).collect();
-        let queued = self.queue.len();
-        let mean_seconds = self.mean_seconds;
         let Scheduler { queue, pool, speeds, health, policy, rng, cursor, .. } = self;
-        let borrowed = &borrowed;
-        let mut chooser =
-            Chooser { now, pool, speeds, health, borrowed, rng, cursor, queued, mean_seconds };
-        let (waiting, team, (worker, job_type)) = queue.pop(|waiting, job_type| {
-            let worker = chooser.choose(policy, waiting)?;
+        let mut chooser = Chooser { now, pool, speeds, health, borrowed: &borrowed, rng, cursor };
+        let (waiting, team, (worker, job_type)) = queue.pop(|need, job_type| {
+            let worker = chooser.choose(policy.choice, need)?;
             Some((worker, job_type.clone()))
         })?;
         let expected = waiting.seconds * self.speeds.slowness(&worker);
@@ -237,7 +221,6 @@
         } else {
             self.lending.held.start(now, &worker).map_or(Slot::Own, Slot::Borrowed)
         };
-        self.mean_seconds += MEAN_WEIGHT * (waiting.seconds - self.mean_seconds);
         self.totals.message(MessageKind::Start);
         self.retries.put(self.policy.retry_share);
         let running = Running { worker, slot, at: now, job_type, waiting, team };
@@ -357,8 +340,6 @@
     borrowed: &'a IndexMap<WorkerName, u32>,
     rng: &'a mut SmallRng,
     cursor: &'a mut usize,
-    queued: usize,
-    mean_seconds: f64,
 }
 
 impl Chooser<'_> {
@@ -369,10 +350,9 @@
             && self.health.allows(self.now, &worker.info.name, worker.running)
     }
 
-    fn choose(&mut self, policy: &Policy, waiting: &Waiting) -> Option<WorkerName> {
-        let need = waiting.need;
+    fn choose(&mut self, choice: Choice, need: Need) -> Option<WorkerName> {
         let free = self.pool.iter().filter(|worker| self.free(worker, need));
-        let best = match policy.choice {
+        let best = match choice {
             Choice::ExpectedFinish => free.min_by(|a, b| {
                 let slowness = |worker: &Worker| self.speeds.slowness(&worker.info.name);
                 slowness(a).total_cmp(&slowness(b))
@@ -394,33 +374,6 @@
                 }
             }
         };
-        let best = best?;
-        if policy.patience && self.waits_for_faster(best, waiting) {
-            return None;
-        }
-        Some(best.info.name.clone())
-    }
-
-    /// Whether the task is expected to finish sooner if it waits for a faster worker, even behind
-    /// all others that wait.
-    fn waits_for_faster(&self, worker: &Worker, waiting: &Waiting) -> bool {
-        let slowness = self.speeds.slowness(&worker.info.name);
-        let (mut rate, mut weighted) = (0.0, 0.0);
-        for faster in self.pool.iter() {
-            let theirs = self.speeds.slowness(&faster.info.name);
-            let usable = faster.open(self.now)
-                && faster.info.offers(waiting.need)
-                && self.health.allows(self.now, &faster.info.name, 0);
-            if usable && theirs < slowness {
-                let ends = f64::from(faster.running) / (self.mean_seconds * theirs);
-                rate += ends;
-                weighted += ends * theirs;
-            }
-        }
-        if rate <= 0.0 {
-            return false;
-        }
-        let gain = waiting.seconds * (slowness - weighted / rate);
-        gain > PATIENCE * self.queued as f64 / rate
+        best.map(|worker| worker.info.name.clone())
     }
 }
--- a/src/state/policy.rs
+++ b/src/state/policy.rs
@@ -49,8 +49,6 @@
     pub dispatchers: u32,
     /// How a worker is chosen.
     pub choice: Choice,
-    /// Whether a task waits for a faster worker where it is expected to finish sooner so.
-    pub patience: bool,
     /// Whether jobs that can't finish in time are refused at once.
     pub admission: bool,
     /// Whether teams share by weight; otherwise first come, first served.
@@ -77,7 +75,6 @@
             sharing: Sharing::default(),
             dispatchers: 1,
             choice: Choice::default(),
-            patience: true,
             admission: true,
             fair: true,
             set_aside: true,
--- a/src/state/queue.rs
+++ b/src/state/queue.rs
@@ -151,7 +151,7 @@
     /// Takes the next task for which `place` finds a worker.
     pub fn pop<T, F>(&mut self, mut place: F) -> Option<(Waiting, TeamName, T)>
     where
-        F: FnMut(&Waiting, &JobType) -> Option<T>,
+        F: FnMut(Need, &JobType) -> Option<T>,
     {
         let mut hopeless: Vec<Need> = Vec::new();
         for at in self.order() {
@@ -161,8 +161,7 @@
                 if hopeless.contains(&rank.need) {
                     continue;
                 }
-                let Some(first) = group.tasks.front() else { continue };
-                match place(first, &group.job_type) {
+                match place(rank.need, &group.job_type) {
                     Some(placed) => {
                         found = Some((*rank, placed));
                         break;
