Slots kept for small jobs, and a bound on how far long jobs are put back

Cause: a long job's place in the queue was put back by 5% of its work, more than its whole deadline for the largest, so accepted jobs starved. Now by 30% of its deadline at most. Cause: a large job takes every free slot, and a small one that comes next gets whichever slot frees first, mostly a slow one. Now the fastest free 4% of the slots are kept from jobs with more than 10 waiting tasks; behind long queues one slot is. Cause: the weight of waste changed nothing once one entry VM dispatches. Now it decides how long a task must still need for a stop request to be worth a message.

--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -38,6 +38,7 @@
 /// The policies compared, by name.
 fn policies() -> Vec<(&'static str, Policy)> {
     let plain = Policy {
+        express_share: 0.0,
         admission: false,
         fair: false,
         set_aside: false,
@@ -50,6 +51,9 @@
         ("divided", Policy::default().dispatchers(3).sharing(Sharing::Divided)),
         ("everywhere", Policy::default().dispatchers(3).sharing(Sharing::Everywhere)),
         ("least-outstanding", Policy::default().choice(Choice::LeastOutstanding)),
+        ("no-express", Policy { express_share: 0.0, ..Policy::default() }),
+        ("express-8", Policy { express_share: 0.08, ..Policy::default() }),
+        ("express-15", Policy { express_share: 0.15, ..Policy::default() }),
         ("no-admission", Policy { admission: false, ..Policy::default() }),
         ("first-come", Policy { fair: false, ..Policy::default() }),
         ("no-set-aside", Policy { set_aside: false, ..Policy::default() }),
@@ -76,13 +80,14 @@
     let mut policies = policies();
     policies.retain(|(name, _)| wanted(&only_policies, name));
     println!(
-        "{:<26} {:>6} {:>6} {:>6} {:>6} | {:>20} | {:>20} | {:>6} {:>7} {:>7} {:>6} {:>8} {:>5}",
+        "{:<26} {:>6} {:>6} {:>6} {:>6} | {:>20} | {:>15} | {:>20} | {:>6} {:>7} {:>7} {:>6} {:>8} {:>5}",
         "scenario / policy",
         "jobs",
         "notrun",
         "failed",
         "unkn",
         "task p50/p99/p999",
+        "single p50/99/999",
         "job p50/p99/p999",
         "msgs",
         "wasted",
@@ -131,13 +136,14 @@
         format!("{p50:.2}/{p99:.2}/{p999:.2}")
     };
     println!(
-        "  {:<24} {:>6} {:>6} {:>6} {:>6} | {:>20} | {:>20} | {:>6.3} {:>7.4} {:>7.3} {:>6} {:>6.1}ms {:>5.3}",
+        "  {:<24} {:>6} {:>6} {:>6} {:>6} | {:>20} | {:>15} | {:>20} | {:>6.3} {:>7.4} {:>7.3} {:>6} {:>6.1}ms {:>5.3}",
         name,
         figures.jobs,
         figures.not_run,
         figures.failed,
         figures.unknown,
         three(&figures.task_ratio),
+        three(&figures.single_ratio),
         three(&figures.job_ratio),
         figures.messages_per_task(),
         figures.wasted_per_task(),
--- a/src/config.rs
+++ b/src/config.rs
@@ -266,6 +266,8 @@
         let weight = policy.waste_weight;
         let fits = (0.0..=1.0).contains(&weight);
         check.that(fits, "policy.waste_weight", weight, "0 to 1")?;
+        let share = policy.express_share;
+        check.that((0.0..=0.5).contains(&share), "policy.express_share", share, "0 to 0.5")?;
         let share = policy.retry_share;
         check.that((0.0..=1.0).contains(&share), "policy.retry_share", share, "0 to 1")?;
         check.range("policy.dispatchers", u64::from(policy.dispatchers), 1, 64)?;
--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -55,6 +55,17 @@
         Refusal { reason, retry_after }
     }
 
+    /// When the caller of a job that was accepted and then not run should come back.
+    pub(super) fn come_back(&mut self, reason: RefuseReason) -> Duration {
+        match reason {
+            RefuseReason::Cancelled | RefuseReason::Leaving => Duration::ZERO,
+            _ => {
+                let drain = self.queue.work() / self.capacity().max(0.1);
+                self.refuse(reason, drain / 2.0).retry_after
+            }
+        }
+    }
+
     fn check_needs(&mut self, spec: &JobSpec) -> Result<(), Refusal> {
         let mut needs: Vec<Need> = spec.tasks.iter().map(|task| task.need()).collect();
         needs.sort();
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -243,7 +243,7 @@
             }
         }
         let reason = (RefuseReason::Cancelled, FailReason::Cancelled);
-        let answer = self.give_up(&mut shard, id.number, reason, None, out);
+        let answer = self.give_up(now, &mut shard, id.number, reason, out);
         drop(shard);
         self.dispatch(now, out);
         Ok(answer.unwrap_or_else(|| unreachable!("the job was open under the shard's lock")))
@@ -252,21 +252,38 @@
     /// Closes an open job without all outputs: as not run if no task was started, else as failed.
     fn give_up(
         &self,
+        now: Moment,
         shard: &mut Shard,
         number: JobNumber,
         (not_run, failed): (RefuseReason, FailReason),
-        culprit: Option<(u32, TaskReport)>,
         out: &mut Vec<Action>,
     ) -> Option<Arc<Answer>> {
         let job = shard.open(number)?;
         let answer = match job.any_started() {
-            false => Answer::NotRun { reason: not_run, retry_after_ms: 0 },
-            true => Answer::Failed { reason: failed, tasks: job.reports(culprit) },
+            false => {
+                let retry_after = self.scheduler.lock().come_back(not_run);
+                let retry_after_ms = retry_after.as_millis() as u64;
+                Answer::NotRun { reason: not_run, retry_after_ms }
+            }
+            true => Answer::Failed { reason: failed, tasks: job.reports(None) },
         };
-        stop_running(job, number, out);
+        self.stop_running(now, job, number, out);
         Some(self.close(shard, number, answer, out))
     }
 
+    /// Asks workers to stop what runs of a job, one message a worker, where that is worth it.
+    fn stop_running(&self, now: Moment, job: &Job, number: JobNumber, out: &mut Vec<Action>) {
+        let scheduler = self.scheduler.lock();
+        let mut stops: IndexMap<WorkerName, Vec<TaskRef>> = IndexMap::new();
+        for (index, worker) in job.running() {
+            let task = TaskRef { number, index };
+            if scheduler.is_worth_stopping(now, task) {
+                stops.entry(worker.clone()).or_default().push(task);
+            }
+        }
+        out.extend(stops.into_iter().map(|(worker, tasks)| Action::Stop { worker, tasks }));
+    }
+
     fn close(
         &self,
         shard: &mut Shard,
@@ -317,12 +334,12 @@
             StartResult::Failed(message) => {
                 drop(scheduler);
                 let report = TaskReport::Failed { message };
-                self.fail(&mut shard, task, FailReason::TaskFailed, report, out);
+                self.fail(now, &mut shard, task, FailReason::TaskFailed, report, out);
             }
             StartResult::Unknown => {
                 drop(scheduler);
                 let report = TaskReport::Unknown;
-                self.fail(&mut shard, task, FailReason::TaskUnknown, report, out);
+                self.fail(now, &mut shard, task, FailReason::TaskUnknown, report, out);
             }
         }
         drop(shard);
@@ -331,6 +348,7 @@
 
     fn fail(
         &self,
+        now: Moment,
         shard: &mut Shard,
         task: TaskRef,
         reason: FailReason,
@@ -342,7 +360,7 @@
             // The culprit has ended, so it needs no stop.
             let answer = Answer::Failed { reason, tasks: job.reports(culprit) };
             job.tasks[task.index as usize] = TaskState::Queued;
-            stop_running(job, task.number, out);
+            self.stop_running(now, job, task.number, out);
             self.close(shard, task.number, answer, out);
         }
     }
@@ -376,8 +394,8 @@
         };
         if now + expected > job.deadline && !job.any_started() {
             self.scheduler.lock().release(task);
-            let reason = (RefuseReason::Deadline, FailReason::Deadline);
-            self.give_up(&mut shard, task.number, reason, None, out);
+            let reason = (RefuseReason::ExpiredInQueue, FailReason::Deadline);
+            self.give_up(now, &mut shard, task.number, reason, out);
             return;
         }
         job.tasks[task.index as usize] = TaskState::Started { worker: worker.clone(), at: now };
@@ -429,7 +447,7 @@
         for number in due {
             let mut shard = self.shard(number);
             let reason = (RefuseReason::ExpiredInQueue, FailReason::Deadline);
-            self.give_up(&mut shard, number, reason, None, out);
+            self.give_up(now, &mut shard, number, reason, out);
         }
     }
 
@@ -729,14 +747,6 @@
     answer
 }
 
-fn stop_running(job: &Job, number: JobNumber, out: &mut Vec<Action>) {
-    let mut stops: IndexMap<WorkerName, Vec<TaskRef>> = IndexMap::new();
-    for (index, worker) in job.running() {
-        stops.entry(worker.clone()).or_default().push(TaskRef { number, index });
-    }
-    out.extend(stops.into_iter().map(|(worker, tasks)| Action::Stop { worker, tasks }));
-}
-
 fn answer_event(job: JobNumber, answer: &Answer) -> Event {
     match answer {
         Answer::Complete { .. } => Event::Completed { job },
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -12,7 +12,7 @@
     job::{JobSpec, Need, StartResult},
     policy::{Choice, Policy, Sharing},
     pool::{Pool, Worker, WorkerInfo},
-    queue::{Queue, Waiting},
+    queue::{Queue, Size, Waiting},
     speed::Speeds,
     time::Moment,
     waste::{MessageKind, Totals, WasteKind},
@@ -28,6 +28,13 @@
 /// How long a task waits when the retry budget is used up.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Slots are kept for small jobs in full up to this expected wait, in seconds; behind longer
+/// queues they would cost too much work, and their share falls to this part.
+const EXPRESS_RANGE: (f64, f64) = (1.0, 0.1);
+
+/// Expected seconds left to a task that justify a stop request where waste weighs most.
+const WASTEFUL_STOP: f64 = 0.3;
+
 /// Whose slot a task runs on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Slot {
@@ -150,6 +157,7 @@
                 task: TaskRef { number, index: index as u32 },
                 seconds: self.speeds.seconds(&spec.job_type, task.declared_ms),
                 declared_ms: task.declared_ms,
+                allowed: spec.deadline(),
                 need: task.need(),
             })
             .collect();
@@ -191,10 +199,15 @@
     fn assign_one(&mut self, now: Moment) -> Option<Assignment> {
         let borrowed: IndexMap<WorkerName, u32> =
             self.lending.held.idle(now).map(|(worker, slots)| (worker.clone(), slots)).collect();
+        let wait = self.queue.work() / self.capacity().max(1e-3);
+        let (full, least) = EXPRESS_RANGE;
+        let express_scale = (1.0 - (wait - full) / full).clamp(least, 1.0);
         let Scheduler { queue, pool, speeds, health, policy, rng, cursor, .. } = self;
-        let mut chooser = Chooser { now, pool, speeds, health, borrowed: &borrowed, rng, cursor };
-        let (waiting, team, (worker, job_type)) = queue.pop(|need, job_type| {
-            let worker = chooser.choose(policy.choice, need)?;
+        let borrowed = &borrowed;
+        let mut chooser =
+            Chooser { now, pool, speeds, health, borrowed, rng, cursor, express_scale };
+        let (waiting, team, (worker, job_type)) = queue.pop(|need, size, job_type| {
+            let worker = chooser.choose(policy, need, size)?;
             Some((worker, job_type.clone()))
         })?;
         let expected = waiting.seconds * self.speeds.slowness(&worker);
@@ -321,6 +334,16 @@
         }
     }
 
+    /// Whether a stop request is worth its message: it is wasted if the task ends before it. The
+    /// more waste weighs, the more time the task must be expected to need still. One that is
+    /// overdue may be stuck and is always worth it.
+    pub fn is_worth_stopping(&self, now: Moment, task: TaskRef) -> bool {
+        let Some(running) = self.running.get(&task) else { return false };
+        let expected = running.waiting.seconds * self.speeds.slowness(&running.worker);
+        let left = expected - (now - running.at).as_secs_f64();
+        left < 0.0 || left >= WASTEFUL_STOP * self.policy.waste_weight
+    }
+
     /// Number of tasks handed to workers and not ended.
     pub fn running(&self) -> usize {
         self.running.len()
@@ -340,6 +363,7 @@
     borrowed: &'a IndexMap<WorkerName, u32>,
     rng: &'a mut SmallRng,
     cursor: &'a mut usize,
+    express_scale: f64,
 }
 
 impl Chooser<'_> {
@@ -350,9 +374,12 @@
             && self.health.allows(self.now, &worker.info.name, worker.running)
     }
 
-    fn choose(&mut self, choice: Choice, need: Need) -> Option<WorkerName> {
+    fn choose(&mut self, policy: &Policy, need: Need, size: Size) -> Option<WorkerName> {
+        if size == Size::Large && policy.express_share > 0.0 {
+            return self.choose_past_express(policy, need);
+        }
         let free = self.pool.iter().filter(|worker| self.free(worker, need));
-        let best = match choice {
+        let best = match policy.choice {
             Choice::ExpectedFinish => free.min_by(|a, b| {
                 let slowness = |worker: &Worker| self.speeds.slowness(&worker.info.name);
                 slowness(a).total_cmp(&slowness(b))
@@ -376,4 +403,24 @@
         };
         best.map(|worker| worker.info.name.clone())
     }
+
+    /// The fastest free worker past the slots that are kept for small jobs, which are the fastest
+    /// free ones.
+    fn choose_past_express(&self, policy: &Policy, need: Need) -> Option<WorkerName> {
+        let share = policy.express_share * self.express_scale;
+        let mut kept = (f64::from(self.pool.owned()) * share).round() as u32;
+        let mut free: Vec<&Worker> =
+            self.pool.iter().filter(|worker| self.free(worker, need)).collect();
+        let slowness = |worker: &Worker| self.speeds.slowness(&worker.info.name);
+        free.sort_by(|a, b| slowness(a).total_cmp(&slowness(b)));
+        for worker in free {
+            let borrowed = self.borrowed.get(&worker.info.name).copied().unwrap_or_default();
+            let slots = worker.idle() + borrowed;
+            if slots > kept {
+                return Some(worker.info.name.clone());
+            }
+            kept -= slots;
+        }
+        None
+    }
 }
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -149,7 +149,7 @@
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefuseReason {
-    /// It can't finish before its deadline at the present rates.
+    /// It was not accepted: it can't finish before its deadline at the present rates.
     #[display("deadline")]
     Deadline,
     /// The queue is full.
@@ -164,7 +164,7 @@
     /// The caller cancelled it before any task was started.
     #[display("cancelled")]
     Cancelled,
-    /// Its deadline passed before any task was started.
+    /// It was accepted, but its deadline can't be met any more and no task was started.
     #[display("expired_in_queue")]
     ExpiredInQueue,
     /// The entry VM is leaving and takes no new jobs.
--- a/src/state/policy.rs
+++ b/src/state/policy.rs
@@ -49,6 +49,8 @@
     pub dispatchers: u32,
     /// How a worker is chosen.
     pub choice: Choice,
+    /// Share of the slots, the fastest free ones, that is kept free of the tasks of large jobs.
+    pub express_share: f64,
     /// Whether jobs that can't finish in time are refused at once.
     pub admission: bool,
     /// Whether teams share by weight; otherwise first come, first served.
@@ -75,6 +77,7 @@
             sharing: Sharing::default(),
             dispatchers: 1,
             choice: Choice::default(),
+            express_share: 0.04,
             admission: true,
             fair: true,
             set_aside: true,
--- a/src/state/queue.rs
+++ b/src/state/queue.rs
@@ -14,6 +14,9 @@
 /// Seconds that each second of a job's work puts it behind jobs that arrive later.
 const LENGTH_PENALTY: f64 = 0.05;
 
+/// Part of its deadline that a job is put behind at most, so that long jobs still end in time.
+const MAX_PENALTY: f64 = 0.3;
+
 /// Where a group of tasks stands within its team: by arrival, long jobs later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -22,6 +25,24 @@
     need: Need,
 }
 
+/// Most waiting tasks of a small job.
+const SMALL_TASKS: usize = 10;
+
+/// The size of a job, by the tasks of it that still wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Size {
+    /// A few tasks.
+    Small,
+    /// Many tasks.
+    Large,
+}
+
+impl Size {
+    fn of(waiting: usize) -> Self {
+        if waiting > SMALL_TASKS { Size::Large } else { Size::Small }
+    }
+}
+
 /// One waiting task.
 #[derive(Clone, Copy, Debug)]
 pub struct Waiting {
@@ -31,6 +52,8 @@
     pub seconds: f64,
     /// What its caller expected, in milliseconds.
     pub declared_ms: Option<u64>,
+    /// The time that its caller gave the whole job.
+    pub allowed: Duration,
     /// What it needs.
     pub need: Need,
 }
@@ -113,7 +136,10 @@
         let work: f64 = tasks.iter().map(|task| task.seconds).sum();
         let key = match self.first_come {
             true => arrived,
-            false => arrived + Duration::from_secs_f64((work * LENGTH_PENALTY).clamp(0.0, 1e6)),
+            false => {
+                let most = first.allowed.as_secs_f64() * MAX_PENALTY;
+                arrived + Duration::from_secs_f64((work * LENGTH_PENALTY).clamp(0.0, most))
+            }
         };
         let queue = self.team(team, weight);
         let mut ranks = Vec::new();
@@ -151,22 +177,23 @@
     /// Takes the next task for which `place` finds a worker.
     pub fn pop<T, F>(&mut self, mut place: F) -> Option<(Waiting, TeamName, T)>
     where
-        F: FnMut(Need, &JobType) -> Option<T>,
+        F: FnMut(Need, Size, &JobType) -> Option<T>,
     {
-        let mut hopeless: Vec<Need> = Vec::new();
+        let mut hopeless: Vec<(Need, Size)> = Vec::new();
         for at in self.order() {
             let (team, queue) = self.teams.get_index(at)?;
             let mut found = None;
             for (rank, group) in &queue.groups {
-                if hopeless.contains(&rank.need) {
+                let size = Size::of(group.tasks.len());
+                if hopeless.contains(&(rank.need, size)) {
                     continue;
                 }
-                match place(rank.need, &group.job_type) {
+                match place(rank.need, size, &group.job_type) {
                     Some(placed) => {
                         found = Some((*rank, placed));
                         break;
                     }
-                    None => hopeless.push(rank.need),
+                    None => hopeless.push((rank.need, size)),
                 }
             }
             if let Some((rank, placed)) = found {
--- a/src/trial/load.rs
+++ b/src/trial/load.rs
@@ -8,6 +8,9 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::time::Duration;
 
+/// When the first job comes: the entry VMs know each other by then.
+const FIRST_ARRIVAL: Duration = Duration::from_secs(1);
+
 /// One job to come.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -104,7 +107,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let mean = mean_job_work(self.max_tasks);
         let mut arrivals = Vec::new();
-        let mut at = 0.0;
+        let mut at = FIRST_ARRIVAL.as_secs_f64();
         while at < self.span.as_secs_f64() {
             let now = Moment::new(Duration::from_secs_f64(at));
             let (factor, team) = self.factor_at(now, &mut rng);
--- a/src/trial/measure.rs
+++ b/src/trial/measure.rs
@@ -76,6 +76,8 @@
     pub job_ratio: Histogram<u64>,
     /// Response of tasks over their time on the fastest worker free at arrival, in thousandths.
     pub task_ratio: Histogram<u64>,
+    /// The same for the tasks of jobs with one task.
+    pub single_ratio: Histogram<u64>,
     /// Job ratios by team.
     pub team_ratio: Vec<Histogram<u64>>,
     /// Time to a refusal, in microseconds.
@@ -108,6 +110,7 @@
             unknown: 0,
             job_ratio: histogram(),
             task_ratio: histogram(),
+            single_ratio: histogram(),
             team_ratio: (0..teams).map(|_| histogram()).collect(),
             refusal_us: histogram(),
             totals: Totals::default(),
@@ -128,6 +131,7 @@
         self.unknown += other.unknown;
         self.job_ratio += &other.job_ratio;
         self.task_ratio += &other.task_ratio;
+        self.single_ratio += &other.single_ratio;
         for (mine, theirs) in self.team_ratio.iter_mut().zip(&other.team_ratio) {
             *mine += theirs;
         }
@@ -343,7 +347,11 @@
         let Some(ended) = ended else { continue };
         let ideal = work * one.fastest_free + ROUND_TRIP;
         let took = (*ended - job.sent).as_secs_f64() + ROUND_TRIP / 2.0;
-        figures.task_ratio.saturating_record((took / ideal * RATIO_UNIT) as u64);
+        let ratio = (took / ideal * RATIO_UNIT) as u64;
+        figures.task_ratio.saturating_record(ratio);
+        if job.work.len() == 1 {
+            figures.single_ratio.saturating_record(ratio);
+        }
     }
 }
 
--- a/src/trial/scenario.rs
+++ b/src/trial/scenario.rs
@@ -55,6 +55,7 @@
     scenarios.push(cancel_wave(span)?);
     scenarios.push(two_teams("one-team", 1.0, span)?);
     scenarios.push(two_teams("flood", FLOOD, span)?);
+    scenarios.push(flood_quota(span)?);
     scenarios.push(wrong_declared(span)?);
     Ok(scenarios)
 }
@@ -109,6 +110,15 @@
     Ok(scenario)
 }
 
+/// Task starts a second that the flooding team may use: about half as much again as it usually does.
+const FLOOD_QUOTA: f64 = 45.0;
+
+fn flood_quota(span: Duration) -> Result<Scenario, IdError> {
+    let mut scenario = two_teams("flood-quota", FLOOD, span)?;
+    scenario.rules[1].1.starts_per_s = Some(FLOOD_QUOTA);
+    Ok(scenario)
+}
+
 fn wrong_declared(span: Duration) -> Result<Scenario, IdError> {
     let mut scenario = base("wrong-declared", 0.8, span)?;
     scenario.load.declared_error = 10.0;
--- a/src/trial/world.rs
+++ b/src/trial/world.rs
@@ -196,6 +196,10 @@
         pulse: Pulse,
         held: Vec<SlotCount>,
     },
+    SaysLeaving {
+        vm: usize,
+        worker: usize,
+    },
     Push {
         vm: usize,
         row: ConfigRow,
@@ -734,6 +738,10 @@
                     core.offer_config(row, out);
                 });
             }
+            Ev::SaysLeaving { worker, .. } => {
+                let name = self.workers[worker].info.name.clone();
+                self.drive(vm, |core, _, _| core.worker_leaving(&name));
+            }
             Ev::Push { row, .. } => self.offer(vm, row),
             Ev::Rechecked { .. } => {
                 self.take_lists(vm);
@@ -850,7 +858,12 @@
         let ended = |result| Ev::Ended { vm, life, task: order.task, result };
         match taken {
             Taken::NoConnection => self.at(NEAR, ended(StartResult::NotSent)),
-            Taken::Refused => self.at(NEAR, ended(StartResult::Refused)),
+            Taken::Refused => {
+                if self.workers[worker].leaving {
+                    self.at(NEAR, Ev::SaysLeaving { vm, worker });
+                }
+                self.at(NEAR, ended(StartResult::Refused));
+            }
             Taken::Broken => self.at(NEAR, ended(StartResult::Unknown)),
             Taken::Failed => self.at(NEAR, ended(StartResult::Failed("broken".to_owned()))),
             Taken::Runs => {
@@ -1024,6 +1037,7 @@
         | Ev::Borrow { vm, .. }
         | Ev::GiveBack { vm, .. }
         | Ev::Heartbeat { vm, .. }
+        | Ev::SaysLeaving { vm, .. }
         | Ev::Push { vm, .. } => Some((*vm, None)),
         Ev::AtWorker { .. } | Ev::WorkDone { .. } | Ev::StopAt { .. } | Ev::Tell { .. } => None,
     }
--- a/tests/core_random.rs
+++ b/tests/core_random.rs
@@ -2,7 +2,10 @@
 //! step. A seed that fails prints the command that repeats it.
 
 use cranberrytray::{
-    coordination::accept::Outcome,
+    coordination::{
+        accept::{Accept, Outcome, Proposal, Step, WriteResult},
+        configuration::{Change, ConfigRow, Configuration},
+    },
     state::{
         id::ConfigVersion,
         job::{Answer, JobSpec, TaskSpec},
@@ -212,3 +215,27 @@
         assert_eq!(world.latest_version(), ConfigVersion(2));
     }
 }
+
+#[test]
+fn accept_both_read_before_either_writes_one_wins() {
+    let proposal = |operation: &str| Proposal {
+        base: ConfigVersion(1),
+        configuration: Configuration::default(),
+        change: Change {
+            version: ConfigVersion::default(),
+            operation: operation.to_owned(),
+            operator: String::new(),
+            note: String::new(),
+        },
+    };
+    let first_row = ConfigRow { version: ConfigVersion(1), document: Default::default() };
+    let (mut a, _) = Accept::new(proposal("a"));
+    let (mut b, _) = Accept::new(proposal("b"));
+    let Step::Write(row_a) = a.on_read(Some(first_row.clone())) else { panic!("a writes") };
+    let Step::Write(row_b) = b.on_read(Some(first_row)) else { panic!("b writes") };
+    assert_eq!(row_a.version, row_b.version);
+    assert!(matches!(a.on_write(WriteResult::Written), Step::Done(Outcome::Accepted { .. })));
+    assert!(matches!(b.on_write(WriteResult::Mismatch), Step::Read));
+    let end = b.on_read(Some(row_a));
+    assert!(matches!(end, Step::Done(Outcome::Conflict(_))), "{end:?}");
+}
--- a/tests/platform_contract.rs
+++ b/tests/platform_contract.rs
@@ -5,8 +5,8 @@
 use common::fresh_ip;
 use cranberrytray::{
     coordination::{
-        accept::{Accept, Outcome, Proposal, Step},
-        configuration::{Change, Configuration},
+        accept::{Accept, Outcome, Proposal, Step, WriteResult},
+        configuration::{Change, ConfigRow, Configuration},
     },
     stand::{
         platform::{Lists, PlatformFaults, PlatformStand},
@@ -85,6 +85,9 @@
         assert_eq!(version, attempt.version, "{}: {outcome}", attempt.operation);
     }
     stand.set_faults(PlatformFaults::default());
+    let stale = ConfigRow { version: ConfigVersion(case.final_version), document: Arc::default() };
+    let written = platform.write_config(&stale).await;
+    assert_eq!(written, WriteResult::Mismatch, "the base is not the version in the table");
     let row = stand.row().expect("a row");
     assert_eq!(row.version, case.final_version);
     let history: Vec<_> = row.value.history.into_iter().map(|change| change.operation).collect();
