Slopes measured on a site in one process; what they broke is mended

What is there: 'cranberrytray measure' grows members, workers, teams, ids, open jobs and starts/s one at a time; processor time by thread from the scheduler's statistics, bytes counted at the socket, resident memory; and times a configuration change under platform faults. Found: (1) an idle entry VM spent 9.6 to 13.5 ms of processor a second, at the bound of 1.2%, in 200 ticks a second; 50 are enough (deadlines are answered 20 ms late at most): now 5.5 to 7.8 ms. (2) Answers were kept for 10 minutes without a bound in bytes; now 3 minutes by default, 64 MiB of answers at most, then new jobs are refused; a worker's answer is at most 1 MiB. (3) The RPC thread outlived its entry VM within one process; it now ends with it. (4) Errors in 'platform' named only 'platform', since a tagged enum hides the path; a plain struct now names the field.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod demo;
 pub mod get;
+pub mod measure;
 pub mod status;
 pub mod submit;
 pub mod ticket;
@@ -18,6 +19,7 @@
     protocol::callers::{OtherState, ReplyBody},
     state::{id::IdError, job::Answer},
     transport::rpc::RpcError,
+    trial::site::SiteError,
 };
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use derive_more::{Display, Error, From};
@@ -53,6 +55,9 @@
     /// An id is malformed.
     #[display("{_0}")]
     Id(IdError),
+    /// A site for measurements can't be started.
+    #[display("{_0}")]
+    Site(SiteError),
 }
 
 /// How a subcommand ended, as an exit code.
@@ -100,6 +105,7 @@
         .subcommand(check_settings::command())
         .subcommand(demo::command())
         .subcommand(bench::command())
+        .subcommand(measure::command())
 }
 
 /// Runs the subcommand that was asked for.
@@ -119,6 +125,7 @@
         Some(("check-settings", args)) => check_settings::run(args),
         Some(("demo", args)) => demo::run(args).await,
         Some(("bench", args)) => bench::run(args),
+        Some(("measure", args)) => measure::run(args).await,
         _ => Ok(Exit::Done),
     }
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -56,17 +56,15 @@
 
 /// Where the platform's services are.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+#[serde(try_from = "PlatformDocument", into = "PlatformDocument")]
 pub enum PlatformSettings {
     /// The platform's own service.
     Service {
         /// IP address and port.
         address: SocketAddr,
         /// Time between two reads of the configuration's version and the lists, in milliseconds.
-        #[serde(default = "default_poll_ms")]
         poll_ms: u64,
         /// Longest wait for one answer, in milliseconds.
-        #[serde(default = "default_timeout_ms")]
         timeout_ms: u64,
     },
     /// No platform: configuration, entry VMs and workers are named here.
@@ -75,19 +73,98 @@
         configuration: Configuration,
         /// The entry VMs of the site; empty means just this one. The first of them keeps the
         /// configuration and is the only one that accepts changes.
-        #[serde(default)]
         members: Vec<MemberInfo>,
         /// The workers of this zone.
         workers: Vec<WorkerInfo>,
     },
 }
 
-fn default_poll_ms() -> u64 {
-    2_000
+/// The kinds of platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum PlatformKind {
+    Service,
+    Embedded,
+}
+
+/// The fields of all kinds of platform as they stand in the file. A plain struct, so that an error
+/// names the field.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PlatformDocument {
+    kind: PlatformKind,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    address: Option<SocketAddr>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    poll_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    timeout_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    configuration: Option<Configuration>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    members: Option<Vec<MemberInfo>>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    workers: Option<Vec<WorkerInfo>>,
+}
+
+/// A field that a kind of platform lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[display("{field} is missing")]
+struct MissingField {
+    field: &'static str,
+}
+
+/// Time between two reads from the platform, in milliseconds.
+const DEFAULT_POLL_MS: u64 = 2_000;
+/// Longest wait for an answer of the platform, in milliseconds.
+const DEFAULT_TIMEOUT_MS: u64 = 1_500;
+
+impl TryFrom<PlatformDocument> for PlatformSettings {
+    type Error = MissingField;
+
+    fn try_from(document: PlatformDocument) -> Result<Self, MissingField> {
+        let missing = |field| MissingField { field };
+        Ok(match document.kind {
+            PlatformKind::Service => PlatformSettings::Service {
+                address: document.address.ok_or(missing("address"))?,
+                poll_ms: document.poll_ms.unwrap_or(DEFAULT_POLL_MS),
+                timeout_ms: document.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS),
+            },
+            PlatformKind::Embedded => PlatformSettings::Embedded {
+                configuration: document.configuration.ok_or(missing("configuration"))?,
+                members: document.members.unwrap_or_default(),
+                workers: document.workers.ok_or(missing("workers"))?,
+            },
+        })
+    }
 }
 
-fn default_timeout_ms() -> u64 {
-    1_500
+impl From<PlatformSettings> for PlatformDocument {
+    fn from(settings: PlatformSettings) -> Self {
+        let mut document = PlatformDocument {
+            kind: PlatformKind::Service,
+            address: None,
+            poll_ms: None,
+            timeout_ms: None,
+            configuration: None,
+            members: None,
+            workers: None,
+        };
+        match settings {
+            PlatformSettings::Service { address, poll_ms, timeout_ms } => {
+                document.address = Some(address);
+                document.poll_ms = Some(poll_ms);
+                document.timeout_ms = Some(timeout_ms);
+            }
+            PlatformSettings::Embedded { configuration, members, workers } => {
+                document.kind = PlatformKind::Embedded;
+                document.configuration = Some(configuration);
+                document.members = Some(members);
+                document.workers = Some(workers);
+            }
+        }
+        document
+    }
 }
 
 /// How logs are written.
@@ -161,7 +238,7 @@
 }
 
 fn default_leave_ms() -> u64 {
-    330_000
+    70_000
 }
 
 fn default_heartbeat_ms() -> u64 {
--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -80,7 +80,10 @@
     fn check_room(&mut self, spec: &JobSpec) -> Result<(), Refusal> {
         let tasks = self.waiting() + spec.tasks.len();
         let bytes = self.open_bytes + spec.bytes();
-        if tasks <= self.policy.max_queued_tasks && bytes <= self.policy.max_queued_bytes {
+        let room = tasks <= self.policy.max_queued_tasks
+            && bytes <= self.policy.max_queued_bytes
+            && self.kept_bytes <= self.policy.max_kept_bytes;
+        if room {
             return Ok(());
         }
         let drain = self.queue.work() / self.capacity().max(0.1);
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -246,7 +246,7 @@
         let answer = self.give_up(now, &mut shard, id.number, reason, out);
         drop(shard);
         self.dispatch(now, out);
-        Ok(answer.unwrap_or_else(|| unreachable!("the job was open under the shard's lock")))
+        answer.ok_or(TicketError::Foreign)
     }
 
     /// Closes an open job without all outputs: as not run if no task was started, else as failed.
@@ -294,7 +294,7 @@
         let answer = Arc::new(answer);
         let digest = shard.open(number).map(|job| job.digest);
         if let Some(job) = shard.close(number, digest, Arc::clone(&answer)) {
-            self.scheduler.lock().close(number, &job.spec, job.deadline);
+            self.scheduler.lock().close(number, &job.spec, job.deadline, answer.bytes());
         }
         out.push(Action::Note(answer_event(number, &answer)));
         out.push(Action::Answer { number, answer: Arc::clone(&answer) });
@@ -454,7 +454,8 @@
     /// Forgets what has expired and adapts to silent peers; to be called about once a second.
     pub fn sweep(&self, now: Moment, out: &mut Vec<Action>) {
         let (oldest, _) = self.tickets.expire(now);
-        self.shards.iter().for_each(|shard| shard.lock().forget(oldest));
+        let forgotten: usize = self.shards.iter().map(|shard| shard.lock().forget(oldest)).sum();
+        self.scheduler.lock().forget_answers(forgotten);
         self.inherited.lock().forget(now, self.tickets.life());
         self.divide(now, out);
         self.share_quotas(now);
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -80,6 +80,8 @@
     pub(super) lending: Lending,
     pub(super) totals: Totals,
     pub(super) open_bytes: usize,
+    /// Bytes of the answers that the ledger keeps.
+    pub(super) kept_bytes: usize,
     pub(super) rng: SmallRng,
     pub(super) quotas: IndexMap<TeamName, Bucket>,
     pub(super) demand: IndexMap<TeamName, u32>,
@@ -104,6 +106,7 @@
             lending: Lending::default(),
             totals: Totals::default(),
             open_bytes: 0,
+            kept_bytes: 0,
             rng: SmallRng::seed_from_u64(seed),
             quotas: IndexMap::new(),
             demand: IndexMap::new(),
@@ -171,13 +174,25 @@
     }
 
     /// Drops what waits of a job that got its answer.
-    pub fn close(&mut self, number: JobNumber, spec: &JobSpec, deadline: Moment) {
+    pub fn close(
+        &mut self,
+        number: JobNumber,
+        spec: &JobSpec,
+        deadline: Moment,
+        answer_bytes: usize,
+    ) {
+        self.kept_bytes += answer_bytes;
         self.queue.remove(number);
         self.delayed.retain(|(_, _, _, waiting)| waiting.task.number != number);
         self.deadlines.remove(&(deadline, number));
         self.open_bytes = self.open_bytes.saturating_sub(spec.bytes());
     }
 
+    /// Answers of so many bytes were forgotten.
+    pub fn forget_answers(&mut self, bytes: usize) {
+        self.kept_bytes = self.kept_bytes.saturating_sub(bytes);
+    }
+
     /// Jobs whose deadline has passed.
     pub fn due(&self, now: Moment) -> Vec<JobNumber> {
         let passed = self.deadlines.iter().take_while(|(deadline, _)| *deadline <= now);
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -1,7 +1,10 @@
 //! Metrics in the OpenMetrics text format.
 
 use super::Daemon;
-use crate::coordination::core::Gauges;
+use crate::{
+    coordination::core::Gauges,
+    transport::traffic::{PEERS, PLATFORM},
+};
 use prometheus_client::{
     encoding::text::encode,
     metrics::{counter::ConstCounter, gauge::ConstGauge},
@@ -54,6 +57,10 @@
         ("wasted_late_stops", "Stops for tasks that had ended", totals.late_stops),
         ("wasted_empty_borrows", "Requests to borrow that brought nothing", totals.empty_borrows),
         ("wasted_unused_loans", "Loans given back unused", totals.unused_loans),
+        ("peer_bytes_sent", "Bytes sent to peers and operators", PEERS.sent()),
+        ("peer_bytes_received", "Bytes received from peers and operators", PEERS.received()),
+        ("platform_bytes_sent", "Bytes sent to the platform", PLATFORM.sent()),
+        ("platform_bytes_received", "Bytes received from the platform", PLATFORM.received()),
     ];
     for (name, help, value) in values {
         registry.register(name, help, ConstCounter::new(value));
--- a/src/daemon/rounds.rs
+++ b/src/daemon/rounds.rs
@@ -18,7 +18,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 /// Time between two ticks of the core.
-const TICK: Duration = Duration::from_millis(5);
+const TICK: Duration = Duration::from_millis(20);
 /// Time between two sweeps of the core.
 const SWEEP: Duration = Duration::from_secs(1);
 /// One heartbeat in so many tells the teams' demand.
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -67,7 +67,10 @@
     let operators_listener = listen("operators", settings.operators).await?;
     let (daemon, calls) = Daemon::new(settings, Handle::current());
     log::info!("start: {} as {}", daemon.settings.vm, daemon.core.issuer().incarnation);
-    start_rpc_thread(Arc::clone(&daemon), calls, peers_listener, operators_listener)?;
+    // The RPC thread ends when this function returns.
+    let (_rpc_ends, rpc_end) = oneshot::channel::<()>();
+    let listeners = (peers_listener, operators_listener);
+    start_rpc_thread(Arc::clone(&daemon), calls, listeners, rpc_end)?;
     tokio::spawn(health::serve(Arc::clone(&daemon), health_listener));
     daemon.find_config().await;
     tokio::spawn(Arc::clone(&daemon).run_ticks());
@@ -92,8 +95,8 @@
 fn start_rpc_thread(
     daemon: Arc<Daemon>,
     calls: PeerCalls,
-    peers: TcpListener,
-    operators: TcpListener,
+    (peers, operators): (TcpListener, TcpListener),
+    end: oneshot::Receiver<()>,
 ) -> Result<(), StartError> {
     let thread_error = |cause| StartError::Thread { cause };
     let peers = peers.into_std().map_err(thread_error)?;
@@ -109,11 +112,12 @@
             };
             let peer = operators::peer_client(Arc::clone(&daemon));
             let operator = operators::operator_client(daemon);
-            tokio::join!(
-                run_calls(calls),
-                rpc::serve(peers, peer),
-                rpc::serve(operators, operator)
-            );
+            tokio::select! {
+                () = run_calls(calls) => {}
+                () = rpc::serve(peers, peer) => {}
+                () = rpc::serve(operators, operator) => {}
+                _ = end => {}
+            }
         });
     };
     std::thread::Builder::new().name("rpc".to_owned()).spawn(work).map_err(thread_error)?;
--- a/src/protocol/callers.rs
+++ b/src/protocol/callers.rs
@@ -57,7 +57,7 @@
         Limits {
             max_body_bytes: 4 << 20,
             max_tasks: 150,
-            max_deadline_ms: 300_000,
+            max_deadline_ms: 60_000,
             max_tickets: 1_000,
             max_requests: 20_000,
             header_timeout_ms: 10_000,
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -234,6 +234,21 @@
     },
 }
 
+impl Answer {
+    /// Bytes of worker output that the answer holds.
+    pub fn bytes(&self) -> usize {
+        let failed = |report: &TaskReport| match report {
+            TaskReport::Failed { message } => message.len(),
+            _ => 0,
+        };
+        match self {
+            Answer::Complete { outputs } => outputs.iter().map(String::len).sum(),
+            Answer::Failed { tasks, .. } => tasks.iter().map(failed).sum(),
+            Answer::NotRun { .. } => 0,
+        }
+    }
+}
+
 /// Where a task of an open job stands.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TaskState {
--- a/src/state/ledger.rs
+++ b/src/state/ledger.rs
@@ -184,17 +184,22 @@
         }
     }
 
-    /// Forgets closed ids below `oldest`, which can't be submitted any more.
-    pub fn forget(&mut self, oldest: u64) {
+    /// Forgets closed ids below `oldest`, which can't be submitted any more; returns the bytes of
+    /// the answers forgotten.
+    pub fn forget(&mut self, oldest: u64) -> usize {
+        let mut forgotten = 0;
         let mut keep = VecDeque::new();
         while let Some(number) = self.closed.pop_front() {
             if number.0 < oldest {
-                self.entries.swap_remove(&number);
+                if let Some(Entry::Closed { answer, .. }) = self.entries.swap_remove(&number) {
+                    forgotten += answer.bytes();
+                }
             } else {
                 keep.push_back(number);
             }
         }
         self.closed = keep;
+        forgotten
     }
 
     /// All entries.
--- a/src/state/policy.rs
+++ b/src/state/policy.rs
@@ -63,6 +63,8 @@
     pub max_queued_tasks: usize,
     /// Bytes of task input queued at most.
     pub max_queued_bytes: usize,
+    /// Bytes of answers kept for callers that ask again; beyond it, new jobs are refused.
+    pub max_kept_bytes: usize,
     /// Start requests that may be repeated after a refusal, as a share of starts.
     pub retry_share: f64,
     /// Life of a job id, in milliseconds.
@@ -83,9 +85,10 @@
             set_aside: true,
             waste_weight: 0.0,
             max_queued_tasks: 50_000,
-            max_queued_bytes: 64 << 20,
+            max_queued_bytes: 32 << 20,
+            max_kept_bytes: 64 << 20,
             retry_share: 0.1,
-            ticket_life_ms: 600_000,
+            ticket_life_ms: 180_000,
             connections_per_worker: 16,
         }
     }
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -1,5 +1,6 @@
 //! Small HTTP helpers over hyper: one request on a fresh connection, and bounded bodies.
 
+use super::traffic::{Counted, Traffic};
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error, From};
 use http_body_util::{BodyExt, Full};
@@ -12,7 +13,11 @@
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
 use std::{net::SocketAddr, time::Duration};
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    time::timeout,
+};
 
 /// Why an HTTP call failed.
 #[derive(Debug, Display, Error, From)]
@@ -109,6 +114,7 @@
     headers: Vec<(HeaderName, String)>,
     body: Bytes,
     timeout: Duration,
+    traffic: Option<&'static Traffic>,
 }
 
 impl Call {
@@ -120,9 +126,16 @@
             headers: Vec::new(),
             body: Bytes::new(),
             timeout: Duration::from_secs(5),
+            traffic: None,
         }
     }
 
+    /// Counts the bytes of this call.
+    pub fn counted(mut self, traffic: &'static Traffic) -> Self {
+        self.traffic = Some(traffic);
+        self
+    }
+
     /// Adds a header.
     pub fn header(mut self, name: HeaderName, value: impl ToString) -> Self {
         self.headers.push((name, value.to_string()));
@@ -155,6 +168,16 @@
     async fn exchange(self, address: SocketAddr) -> Result<Answered, HttpError> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        match self.traffic {
+            Some(traffic) => self.exchange_over(address, Counted::new(stream, traffic)).await,
+            None => self.exchange_over(address, stream).await,
+        }
+    }
+
+    async fn exchange_over<S>(self, address: SocketAddr, stream: S) -> Result<Answered, HttpError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    {
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let driver = tokio::spawn(connection);
         let mut builder = Request::builder()
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -9,4 +9,5 @@
 pub mod platform;
 pub mod rpc;
 pub mod shed;
+pub mod traffic;
 pub mod workers;
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -14,7 +14,10 @@
         id::{ConfigVersion, VmName, ZoneName},
         pool::WorkerInfo,
     },
-    transport::http::{Call, HttpError},
+    transport::{
+        http::{Call, HttpError},
+        traffic::PLATFORM,
+    },
 };
 use derive_more::{Display, Error, From};
 use hyper::{Method, StatusCode, header::IF_NONE_MATCH};
@@ -87,7 +90,7 @@
     }
 
     fn call(&self, method: Method, path: impl Into<String>) -> Call {
-        Call::new(method, path).timeout(self.timeout)
+        Call::new(method, path).timeout(self.timeout).counted(&PLATFORM)
     }
 
     async fn read_list<T>(&self, path: &str, cache: &Mutex<Cached<T>>) -> Result<T, PlatformError>
--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -1,5 +1,6 @@
 //! Cap'n Proto connections on the RPC thread, shared by peers and operators.
 
+use super::traffic::{Counted, PEERS};
 use crate::protocol::peers::WireError;
 use capnp::capability::FromClientHook;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
@@ -56,11 +57,12 @@
     }
 }
 
-type Network = VatNetwork<Compat<OwnedReadHalf>>;
+type Network = VatNetwork<Compat<Counted<OwnedReadHalf>>>;
 
 fn network(stream: TcpStream, side: Side) -> Network {
     let (read, write): (OwnedReadHalf, OwnedWriteHalf) = stream.into_split();
-    let (read, write) = (read.compat(), write.compat_write());
+    let read = Counted::new(read, &PEERS).compat();
+    let write = Counted::new(write, &PEERS).compat_write();
     let mut options = capnp::message::ReaderOptions::new();
     options.traversal_limit_in_words(Some(64 << 20));
     VatNetwork::new(read, write, side, options)
--- /dev/null
+++ b/src/transport/traffic.rs
@@ -0,0 +1,91 @@
+//! Counts the bytes of control traffic, at the socket.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::atomic::{AtomicU64, Ordering},
+    task::{Context, Poll, ready},
+};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes sent and received over one kind of connection by this process.
+#[derive(Debug)]
+pub struct Traffic {
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+/// Traffic with peers and operators.
+pub static PEERS: Traffic = Traffic::new();
+/// Traffic with the platform.
+pub static PLATFORM: Traffic = Traffic::new();
+
+impl Traffic {
+    const fn new() -> Self {
+        Traffic { sent: AtomicU64::new(0), received: AtomicU64::new(0) }
+    }
+
+    /// Bytes sent so far.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Bytes received so far.
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+}
+
+/// A stream whose bytes are counted.
+#[derive(Debug)]
+pub struct Counted<S> {
+    inner: S,
+    traffic: &'static Traffic,
+}
+
+impl<S> Counted<S> {
+    /// Counts the bytes of `inner` in `traffic`.
+    pub fn new(inner: S, traffic: &'static Traffic) -> Self {
+        Counted { inner, traffic }
+    }
+}
+
+impl<S> AsyncRead for Counted<S>
+where
+    S: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        let read = buf.filled().len() - before;
+        self.traffic.received.fetch_add(read as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S> AsyncWrite for Counted<S>
+where
+    S: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.inner).poll_write(cx, buf))?;
+        self.traffic.sent.fetch_add(written as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- a/src/transport/workers.rs
+++ b/src/transport/workers.rs
@@ -6,7 +6,7 @@
         StopRequest, read_start,
     },
     state::job::StartResult,
-    transport::http::{Call, MAX_ANSWER_BYTES, read_body},
+    transport::http::{Call, read_body},
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -33,6 +33,10 @@
 /// Longest wait for the answer to a stop request.
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest answer of a worker to a start request, in bytes; the outcome of a task with a larger one
+/// is unknown.
+const MAX_OUTPUT_BYTES: usize = 1 << 20;
+
 type Sender = SendRequest<Full<Bytes>>;
 
 #[derive(Debug)]
@@ -177,7 +181,7 @@
         let header = |name| parts.headers.get(name).and_then(|value| value.to_str().ok());
         let leaving = header(LEAVING_HEADER) == Some("yes");
         let started = header(STARTED_HEADER);
-        let Ok(body) = read_body(body, MAX_ANSWER_BYTES).await else {
+        let Ok(body) = read_body(body, MAX_OUTPUT_BYTES).await else {
             // The header alone proves that the task was not started.
             let result = match started {
                 Some("no") => StartResult::Refused,
--- /dev/null
+++ b/src/trial/check.rs
@@ -0,0 +1,70 @@
+//! The invariants, checked while a world runs and at its end.
+
+use super::{
+    worker::{TaskKey, TrialWorker},
+    world::{Told, TrialJob, World},
+};
+use crate::state::{
+    id::{ConfigVersion, TaskRef},
+    job::Answer,
+};
+
+impl World {
+    /// Invariant I1: no task starts twice, on any worker.
+    pub(super) fn check_start(&mut self, task: TaskKey) {
+        let count = |w: &TrialWorker| w.starts().get(&task).copied().unwrap_or(0);
+        let starts: u32 = self.workers.iter().map(count).sum();
+        if starts > 1 {
+            self.broken.push(format!("{}: {task:?} started {starts} times", self.now));
+        }
+    }
+
+    /// Invariant I5: the version in force never goes down in a life.
+    pub(super) fn check_version(&mut self, vm: usize, version: ConfigVersion) {
+        if version < self.vms[vm].version {
+            let before = self.vms[vm].version;
+            self.broken.push(format!("{}: vm {vm} went from {before} to {version}", self.now));
+        }
+        self.vms[vm].version = version;
+    }
+
+    /// Checks what callers were told against what the workers started; to be called at the end.
+    pub fn check_told(&mut self) {
+        let mut broken = Vec::new();
+        for (at, job) in self.jobs.iter().enumerate() {
+            broken.extend(self.check_job(at, job));
+        }
+        self.broken.extend(broken);
+    }
+
+    fn check_job(&self, at: usize, job: &TrialJob) -> Option<String> {
+        let life = job.id.issuer.incarnation.0;
+        let started = (0..job.work.len() as u32).any(|index| {
+            let task = TaskRef { number: job.id.number, index };
+            self.workers.iter().any(|w| w.starts().contains_key(&TaskKey { life, task }))
+        });
+        let mut first: Option<&Answer> = None;
+        for (_, told) in &job.told {
+            let Told::Answer(answer) = told else { continue };
+            if matches!(answer.as_ref(), Answer::NotRun { .. }) && started {
+                return Some(format!("job {at}: told not_run, but a task was started"));
+            }
+            match first {
+                None => first = Some(answer),
+                Some(first) if !same_answer(first, answer) => {
+                    return Some(format!("job {at}: told {first:?} and {answer:?}"));
+                }
+                _ => {}
+            }
+        }
+        None
+    }
+}
+
+/// Answers are one value; only the advice of a `not_run` on when to come back may differ.
+fn same_answer(a: &Answer, b: &Answer) -> bool {
+    match (a, b) {
+        (Answer::NotRun { .. }, Answer::NotRun { .. }) => true,
+        _ => a == b,
+    }
+}
--- /dev/null
+++ b/tests/common/cli.rs
@@ -0,0 +1,22 @@
+//! Runs the command line as a process.
+
+use std::process::Command;
+
+/// How a command ended.
+pub struct Ran {
+    pub code: i32,
+    pub out: String,
+    pub err: String,
+}
+
+/// Runs `cranberrytray` with these arguments.
+pub async fn cranberrytray(args: &[&str]) -> Ran {
+    let args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
+    let run = move || Command::new(env!("CARGO_BIN_EXE_cranberrytray")).args(args).output();
+    let output = tokio::task::spawn_blocking(run).await.expect("joined").expect("the program runs");
+    Ran {
+        code: output.status.code().expect("an exit code"),
+        out: String::from_utf8(output.stdout).expect("UTF-8"),
+        err: String::from_utf8(output.stderr).expect("UTF-8"),
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! its own.
 #![allow(dead_code)]
 
+pub mod cli;
 pub mod embedded;
 
 use cranberrytray::{
