Demand is told only to those that admit jobs

Cause: at 130 teams a heartbeat that tells demand has about 4 kB; told to every zone peer and to 8 far ones every 5 s it would take a dispatcher to some 19 kB/s of control traffic, above 11. Now: within a zone only dispatchers are told, other zones every minute. Ruled out: the heartbeats themselves; one zone peer costs 1.7 kB/s, 23 far ones 1.7 together. Before (worked out from the slopes): 19 kB/s for a dispatcher.

--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -34,7 +34,7 @@
             Arg::new("only")
                 .long("only")
                 .value_name("NAME")
-                .help("zone-peers, far-peers, workers, teams, ledger, open-jobs, starts or config")
+                .help("zone-peers, far-peers, workers, teams, design-size, ledger, open-jobs, starts or config")
                 .action(ArgAction::Append),
         )
         .arg(
@@ -72,6 +72,9 @@
         let plans = [1, 65, 130, 260].map(|n| (n, SitePlan { teams: n, ..base() }));
         team_series(&plans, span).await?;
     }
+    if wanted("design-size") {
+        design_size(span).await?;
+    }
     if wanted("ledger") {
         ledger_series()?;
     }
@@ -198,6 +201,9 @@
             s.vm_us, s.rpc_us, s.peer_bytes, s.platform_bytes, s.resident_kb
         );
     }
+    if rows.len() < 2 {
+        return;
+    }
     let column = |f: fn(&Spent) -> f64| rows.iter().map(|(n, s)| (*n, f(s))).collect::<Vec<_>>();
     print_fit("processor", "us/s", &column(|s| s.vm_us + s.rpc_us));
     print_fit("peer traffic", "bytes/s", &column(|s| s.peer_bytes));
@@ -222,6 +228,22 @@
     Ok(())
 }
 
+/// Six zones of four entry VMs, 138 workers in the first, 130 teams that offer a job a second each
+/// there: the mean over all entry VMs.
+async fn design_size(span: Duration) -> Result<(), CmdError> {
+    println!("design-size: 6 zones of 4 entry VMs, 138 workers listed, 130 jobs/s in one zone");
+    let plan = SitePlan { vms: vec![4; 6], workers: 8, listed: 130, teams: 130 };
+    let site = Site::start(&plan).await?;
+    let names = team_names(130)?;
+    let load = tokio::spawn(steady_jobs(dispatcher(&site).await?.caller(), names, 130.0, 1));
+    sleep(Duration::from_secs(3)).await;
+    let spent = measure_idle(&site, span * 4).await;
+    load.abort();
+    site.stop();
+    print_rows(&[(24.0, spent)]);
+    Ok(())
+}
+
 /// The entry VM that owns the slots, so that no job has to be passed on.
 async fn dispatcher(site: &Site) -> Result<&SiteVm, CmdError> {
     for vm in &site.vms {
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -475,6 +475,11 @@
         }
     }
 
+    /// Whether an entry VM of this zone dispatches to its workers.
+    pub fn is_dispatcher(&self, vm: &VmName) -> bool {
+        self.dispatchers.lock().contains(vm)
+    }
+
     /// A peer's process has ended.
     pub fn lost(&self, now: Moment, peer: &VmName, out: &mut Vec<Action>) {
         self.members.lock().lost(peer);
--- a/src/daemon/rounds.rs
+++ b/src/daemon/rounds.rs
@@ -25,6 +25,8 @@
 const DEMAND_EVERY: u64 = 10;
 /// One round in so many also goes to other zones.
 const FAR_EVERY: u64 = 10;
+/// One round in so many tells the teams' demand to other zones.
+const FAR_DEMAND_EVERY: u64 = 120;
 /// Peers of other zones that get a heartbeat in one round, however many there are.
 const FAR_PEERS: usize = 8;
 /// Longest wait for what is read anew after a pause.
@@ -62,8 +64,15 @@
             let jitter = rand::rng().random_range(0.8..1.2);
             sleep(self.settings.heartbeat().mul_f64(jitter)).await;
             let demand = round.is_multiple_of(DEMAND_EVERY);
+            let far_demand = round.is_multiple_of(FAR_DEMAND_EVERY);
             for peer in self.round_peers(round) {
                 let daemon = Arc::clone(&self);
+                let near = peer.zone == self.settings.zone;
+                // Only those that admit jobs need to know what is offered elsewhere.
+                let demand = match near {
+                    true => demand && self.core.is_dispatcher(&peer.vm),
+                    false => far_demand,
+                };
                 self.runtime.spawn(async move { daemon.beat(&peer, demand).await });
             }
             if demand {
