Dispatchers killed and frozen, a lagging list, an object store in the stand-in

Cause: the dispatcher's role was new and its loss not tested; the platform stand-in lacked two things that the design lists. What is there: process tests for a dispatcher killed (the other takes over and keeps the role after the restart), frozen (the other takes over and gives back), and a worker that leaves while the list lags. A lone entry VM no longer warns that nobody took its ledger. Ruled out: handing slots back at once after a thaw; the guard refuses what is too much meanwhile.

--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -50,6 +50,13 @@
         ("three-dispatchers", Policy::default().dispatchers(3)),
         ("divided", Policy::default().dispatchers(3).sharing(Sharing::Divided)),
         ("everywhere", Policy::default().dispatchers(3).sharing(Sharing::Everywhere)),
+        (
+            "everywhere-free-retries",
+            Policy {
+                retry_share: 1.0,
+                ..Policy::default().dispatchers(3).sharing(Sharing::Everywhere)
+            },
+        ),
         ("least-outstanding", Policy::default().choice(Choice::LeastOutstanding)),
         ("no-express", Policy { express_share: 0.0, ..Policy::default() }),
         ("express-8", Policy { express_share: 0.08, ..Policy::default() }),
--- a/src/coordination/accept.rs
+++ b/src/coordination/accept.rs
@@ -60,6 +60,32 @@
 }
 
 /// A change on its way into the table.
+///
+/// ```
+/// use cranberrytray::{
+///     coordination::{
+///         accept::{Accept, Outcome, Proposal, Step, WriteResult},
+///         configuration::{Change, ConfigRow, Configuration},
+///     },
+///     state::id::ConfigVersion,
+/// };
+///
+/// let change = Change {
+///     version: ConfigVersion(0),
+///     operation: "op-1".to_owned(),
+///     operator: "nguyen".to_owned(),
+///     note: String::new(),
+/// };
+/// let configuration = Configuration::default();
+/// let proposal = Proposal { base: ConfigVersion(0), configuration, change };
+/// let (mut accept, first) = Accept::new(proposal);
+/// assert!(matches!(first, Step::Read));
+/// let Step::Write(row) = accept.on_read(Some(ConfigRow::default())) else { panic!() };
+/// // The answer to the write is lost, so the row is read back.
+/// assert!(matches!(accept.on_write(WriteResult::Lost), Step::Read));
+/// let end = accept.on_read(Some(row));
+/// assert!(matches!(end, Step::Done(Outcome::Accepted { .. })));
+/// ```
 #[derive(Debug)]
 pub struct Accept {
     proposal: Proposal,
--- a/src/coordination/configuration.rs
+++ b/src/coordination/configuration.rs
@@ -71,6 +71,15 @@
 impl Configuration {
     /// Reads and checks a JSON document.
     ///
+    /// ```
+    /// use cranberrytray::coordination::configuration::Configuration;
+    ///
+    /// let document = br#"{ "teams": { "rounds": { "weight": 2.0, "starts_per_s": 50.0 } } }"#;
+    /// assert_eq!(Configuration::parse(document).unwrap().teams.len(), 1);
+    /// let e = Configuration::parse(br#"{ "teams": { "rounds": { "weight": 0 } } }"#).unwrap_err();
+    /// assert!(e.to_string().starts_with("teams.rounds.weight: "));
+    /// ```
+    ///
     /// # Errors
     ///
     /// A [`ConfigError`] that names the field.
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -100,6 +100,46 @@
 /// The decision core of one entry VM.
 ///
 /// All methods may be called from any thread. A shard's lock is taken before the scheduler's.
+///
+/// ```
+/// use cranberrytray::{
+///     coordination::{
+///         action::Action,
+///         configuration::{ConfigDocument, ConfigRow, Configuration},
+///         core::{Core, Lookup},
+///     },
+///     state::{
+///         id::ConfigVersion,
+///         job::{JobSpec, StartResult, TaskSpec},
+///         ledger::{TagKey, issuer},
+///         policy::Policy,
+///         pool::WorkerInfo,
+///         time::Moment,
+///     },
+/// };
+/// use std::sync::Arc;
+///
+/// let now = Moment::ZERO;
+/// let issuer = issuer("hn-bactu", "bactu-1", 1).unwrap();
+/// let core = Core::new(issuer, TagKey([7; 16]), Policy::default(), 1);
+/// let mut out = Vec::new();
+/// let configuration = Configuration::parse(br#"{ "teams": { "drafting": {} } }"#).unwrap();
+/// let document = Arc::new(ConfigDocument { configuration, history: Vec::new() });
+/// core.offer_config(ConfigRow { version: ConfigVersion(1), document }, &mut out);
+/// let worker = WorkerInfo::new("w-1".parse().unwrap(), "127.0.0.1:7201");
+/// core.workers_listed(now, &[worker], &mut out);
+///
+/// let id = core.issue(now, 1).remove(0);
+/// let spec = JobSpec::new("drafting".parse().unwrap(), "summary".parse().unwrap())
+///     .task(TaskSpec::new("clause 4"));
+/// core.submit(now, &id, Arc::new(spec), &mut out).unwrap();
+/// let start = out.iter().find_map(|action| match action {
+///     Action::Start(order) => Some(order.task),
+///     _ => None,
+/// });
+/// core.ended(now, start.unwrap(), StartResult::Done("good".to_owned()), &mut out);
+/// assert!(matches!(core.get(now, &id), Ok(Lookup::Final(_))));
+/// ```
 #[derive(Debug)]
 pub struct Core {
     tickets: Tickets,
--- a/src/daemon/leave.rs
+++ b/src/daemon/leave.rs
@@ -51,7 +51,12 @@
     }
 
     async fn hand_over(self: &Arc<Self>, ledgers: Vec<ClosedLedger>) -> Result<(), LeaveError> {
-        for peer in self.candidates() {
+        let candidates = self.candidates();
+        if candidates.is_empty() {
+            log::info!("leave: no zone peer, ids issued here end with this process");
+            return Ok(());
+        }
+        for peer in candidates {
             let Ok(address) = peer.peers.parse::<SocketAddr>() else {
                 continue;
             };
--- a/src/protocol/callers.rs
+++ b/src/protocol/callers.rs
@@ -295,6 +295,14 @@
 
 /// Reads a job and checks it against the limits.
 ///
+/// ```
+/// use cranberrytray::protocol::callers::{Limits, parse_job};
+///
+/// let body = br#"{ "team": "rounds", "job_type": "plan", "deadline_ms": 500, "tasks": [] }"#;
+/// let e = parse_job(body, &Limits::default()).unwrap_err();
+/// assert_eq!((e.status(), e.kind()), (400, "malformed"));
+/// ```
+///
 /// # Errors
 ///
 /// A [`CallerError`] that names the field.
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -93,6 +93,13 @@
 ///
 /// Only the header proves that the task was not started; any other answer that can't be read
 /// leaves that open.
+///
+/// ```
+/// use cranberrytray::{protocol::workers::read_start, state::job::StartResult};
+///
+/// assert_eq!(read_start(503, Some("no"), b""), StartResult::Refused);
+/// assert_eq!(read_start(503, None, b""), StartResult::Unknown);
+/// ```
 pub fn read_start(status: u16, started: Option<&str>, body: &[u8]) -> StartResult {
     if started == Some("no") {
         return StartResult::Refused;
--- a/src/stand/platform.rs
+++ b/src/stand/platform.rs
@@ -1,12 +1,14 @@
-//! A platform: one table with conditional writes, the lists of VMs and workers, and outages on
-//! demand.
+//! A platform: one table with conditional writes, an object store, the lists of VMs and workers,
+//! and outages on demand.
 
 use super::{Dropped, Stand, StandRequest, StandResponse, bare, reply};
 use crate::{
     coordination::configuration::ConfigDocument,
     protocol::platform::{CONFIG_ROW_PATH, IF_VERSION_HEADER, Row, VMS_PATH, VmList, WorkerList},
     state::{budget::Bucket, id::ZoneName, time::Moment},
+    transport::http::json_response,
 };
+use bytes::Bytes;
 use hyper::{
     Method, StatusCode,
     header::{ETAG, HeaderValue, IF_NONE_MATCH},
@@ -22,6 +24,8 @@
 pub const FAULTS_PATH: &str = "/control/faults";
 /// Where the lists are set.
 pub const LISTS_PATH: &str = "/control/lists";
+/// Where objects are kept.
+const OBJECTS_PREFIX: &str = "/v1/objects/";
 /// Writes a second that the table service takes.
 const WRITES_PER_S: f64 = 300.0;
 /// Reads a second that the table service takes.
@@ -39,8 +43,8 @@
     pub lose_write_answers: u32,
     /// Reads of the configuration give the row before the latest.
     pub stale_reads: bool,
-    /// The lists no longer change.
-    pub lists_frozen: bool,
+    /// Changes of the lists show after this long, in milliseconds.
+    pub list_lag_ms: u64,
 }
 
 /// The lists that the platform shows.
@@ -56,6 +60,9 @@
 struct State {
     rows: Vec<Row>,
     lists: Lists,
+    /// Lists that do not show yet, and when they will.
+    coming: Vec<(Instant, Lists)>,
+    objects: IndexMap<String, Bytes>,
     faults: PlatformFaults,
     reads: Bucket,
     writes: Bucket,
@@ -75,6 +82,8 @@
         let state = State {
             rows: vec![Row { version: 1, value: document }],
             lists,
+            coming: Vec::new(),
+            objects: IndexMap::new(),
             faults: PlatformFaults::default(),
             reads: Bucket::new(READS_PER_S, READS_PER_S),
             writes: Bucket::new(WRITES_PER_S, WRITES_PER_S),
@@ -88,12 +97,11 @@
         self.state.lock().faults = faults;
     }
 
-    /// Sets the lists.
+    /// Sets the lists; they show after the lag.
     pub fn set_lists(&self, lists: Lists) {
         let mut state = self.state.lock();
-        if !state.faults.lists_frozen {
-            state.lists = lists;
-        }
+        let lag = Duration::from_millis(state.faults.list_lag_ms);
+        state.coming.push((Instant::now() + lag, lists));
     }
 
     /// The latest row of the configuration.
@@ -134,8 +142,31 @@
         Ok(bare(StatusCode::OK))
     }
 
+    /// The object store: `PUT` creates an object if there is none of that name.
+    fn object(&self, req: &StandRequest) -> StandResponse {
+        let mut state = self.state.lock();
+        match req.method {
+            Method::GET => match state.objects.get(&req.path) {
+                Some(body) => json_response(200, None, body.clone()),
+                None => bare(StatusCode::NOT_FOUND),
+            },
+            Method::PUT if state.objects.contains_key(&req.path) => {
+                bare(StatusCode::PRECONDITION_FAILED)
+            }
+            Method::PUT => {
+                state.objects.insert(req.path.clone(), req.body.clone());
+                bare(StatusCode::OK)
+            }
+            _ => bare(StatusCode::METHOD_NOT_ALLOWED),
+        }
+    }
+
     fn list(&self, req: &StandRequest) -> StandResponse {
-        let state = self.state.lock();
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        while state.coming.first().is_some_and(|(at, _)| *at <= now) {
+            state.lists = state.coming.remove(0).1;
+        }
         if req.path == VMS_PATH {
             return listed(req, &state.lists.vms);
         }
@@ -208,6 +239,9 @@
         if !self.within_rate(&req.method) {
             return Ok(bare(StatusCode::TOO_MANY_REQUESTS));
         }
+        if req.path.starts_with(OBJECTS_PREFIX) {
+            return Ok(self.object(&req));
+        }
         match (&req.method, req.path.as_str()) {
             (&Method::GET, CONFIG_ROW_PATH) => Ok(self.read_row(&req)),
             (&Method::PUT, CONFIG_ROW_PATH) => self.write_row(&req),
--- a/src/state/ledger.rs
+++ b/src/state/ledger.rs
@@ -48,6 +48,24 @@
 }
 
 /// Issues ids and tells valid ones from others.
+///
+/// ```
+/// use cranberrytray::state::{
+///     id::Tag,
+///     ledger::{TagKey, TicketError, Tickets, issuer},
+///     time::Moment,
+/// };
+/// use std::time::Duration;
+///
+/// let issuer = issuer("gasabo", "gasabo-1", 1).unwrap();
+/// let tickets = Tickets::new(issuer, TagKey([7; 16]), Duration::from_secs(60));
+/// let mut id = tickets.issue(Moment::ZERO, 1).remove(0);
+/// assert_eq!(tickets.check(Moment::ZERO, &id), Ok(()));
+/// let late = Moment::ZERO + Duration::from_secs(61);
+/// assert_eq!(tickets.check(late, &id), Err(TicketError::Expired));
+/// id.tag = Tag(0);
+/// assert_eq!(tickets.check(Moment::ZERO, &id), Err(TicketError::Foreign));
+/// ```
 #[derive(Debug)]
 pub struct Tickets {
     issuer: Issuer,
--- a/src/state/speed.rs
+++ b/src/state/speed.rs
@@ -42,7 +42,7 @@
     declared: Predictor,
 }
 
-/// Learned run times: of job types on a worker of slowness 1, and each worker's slowness.
+/// Learned run times, in seconds: of job types on a worker of slowness 1, and each worker's slowness.
 #[derive(Debug, Default)]
 pub struct Speeds {
     types: IndexMap<JobType, TypeTime>,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -348,3 +348,70 @@
     .await;
     site.assert_no_double_start().await;
 }
+
+#[tokio::test]
+async fn dispatcher_killed_other_takes_over() {
+    let mut site = Site::start(one_zone()).await;
+    let id = ticket(&site, 0).await;
+    let (dispatcher, other) = site.issuer_and_other(&id);
+    site.vms[dispatcher].process.kill();
+    let caller = site.vms[other].caller();
+    until(|| async {
+        let id = caller.tickets(1).await.expect("ids").remove(0);
+        is_complete(&caller.submit(&id, &job(4, 20)).await.expect("a reply"))
+    })
+    .await;
+    site.restart_vm(dispatcher).await;
+    until(|| site.vms[dispatcher].is_ready()).await;
+    let id = ticket(&site, dispatcher).await;
+    assert_eq!(id.issuer.vm.as_str(), site.vms[other].name, "the role stays where it went");
+    let reply = caller.submit(&id, &job(4, 20)).await.expect("a reply");
+    assert!(is_complete(&reply), "{reply:?}");
+    site.assert_no_double_start().await;
+}
+
+#[tokio::test]
+async fn dispatcher_frozen_other_takes_over_and_gives_back() {
+    let site = Site::start(one_zone()).await;
+    let id = ticket(&site, 0).await;
+    let (dispatcher, other) = site.issuer_and_other(&id);
+    site.vms[dispatcher].process.freeze();
+    let caller = site.vms[other].caller();
+    until(|| async {
+        let id = caller.tickets(1).await.expect("ids").remove(0);
+        is_complete(&caller.submit(&id, &job(4, 20)).await.expect("a reply"))
+    })
+    .await;
+    site.vms[dispatcher].process.resume();
+    until(|| async {
+        let id = caller.tickets(1).await.expect("ids").remove(0);
+        let reply = caller.submit(&id, &job(4, 20)).await.expect("a reply");
+        is_complete(&reply) && id.issuer.vm.as_str() == site.vms[dispatcher].name
+    })
+    .await;
+    let reply = caller.submit(&id, &job(2, 20)).await.expect("a reply");
+    assert!(is_complete(&reply), "{reply:?}");
+    site.assert_no_double_start().await;
+}
+
+#[tokio::test]
+async fn worker_leaves_while_list_lags_loses_nothing() {
+    let site = Site::start(one_zone()).await;
+    site.platform_faults(PlatformFaults { list_lag_ms: 1_000, ..Default::default() }).await;
+    site.list_leaving(&["w-1"]).await;
+    let leaving = WorkerFaults { leaving: true, ..Default::default() };
+    let caller = site.vms[0].caller();
+    let ids = caller.tickets(40).await.expect("ids");
+    let spec = job(3, 50);
+    let jobs = futures_util::future::join_all(ids.iter().map(|id| caller.submit(id, &spec)));
+    let leave = async {
+        until(|| async { !site.workers[0].starts().await.is_empty() }).await;
+        site.workers[0].set_faults(leaving).await;
+    };
+    let (replies, ()) = tokio::join!(jobs, leave);
+    for reply in replies {
+        let reply = reply.expect("a reply");
+        assert!(is_complete(&reply), "{reply:?}");
+    }
+    site.assert_no_double_start().await;
+}
