A woken process starts nothing before it has looked; the core in smaller files

Cause: found in reading: a list, a granted loan or a returned slot that came first after a freeze led to starts before the gap in the calls was noticed, since only some calls looked for it. Now: every assignment looks for a gap first. A late first call is no gap any more. Ruled out: checking in each caller; dispatch is where all of them end. Before: wake_after_gap_starts_nothing_before_recheck and tick_first_of_a_late_start_is_no_gap fail.

--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -3,7 +3,7 @@
 //! Measures the dispatcher's policies against plain baselines, in virtual time and with paired
 //! seeds: every policy meets the same jobs.
 
-use super::{CmdError, CmdResult, Exit, required};
+use super::{CmdError, CmdResult, Exit, number_arg, required};
 use crate::{
     state::policy::{Choice, Policy, Sharing},
     trial::{
@@ -11,7 +11,7 @@
         scenario,
     },
 };
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use std::{thread, time::Duration};
 
 /// The arguments.
@@ -19,20 +19,12 @@
     let names = |name: &'static str, help: &'static str| {
         Arg::new(name).long(name).value_name("NAME").help(help).action(ArgAction::Append)
     };
-    let number = |name: &'static str, default: &'static str, help: &'static str| {
-        Arg::new(name)
-            .long(name)
-            .value_name("N")
-            .help(help)
-            .default_value(default)
-            .value_parser(value_parser!(u64).range(1..=10_000))
-    };
     Command::new("bench")
         .about("Measures policies against plain baselines, in virtual time with paired seeds")
         .arg(names("scenario", "Only this scenario; may be given several times"))
         .arg(names("policy", "Only this policy; may be given several times"))
-        .arg(number("seeds", "4", "Runs of each scenario, with seeds 1 to N"))
-        .arg(number("seconds", "40", "Virtual length of a run"))
+        .arg(number_arg("seeds", "4", "Runs of each scenario, with seeds 1 to N", 10_000))
+        .arg(number_arg("seconds", "40", "Virtual length of a run", 10_000))
 }
 
 /// The policies compared, by name.
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -3,7 +3,7 @@
 //! Runs an entry VM with an embedded platform and four worker stand-ins in this process, submits
 //! jobs over HTTP, and prints what came back.
 
-use super::{CmdError, CmdResult, Exit, exit_of, required};
+use super::{CmdError, CmdResult, Exit, exit_of, number_arg, required};
 use crate::{
     client::Caller,
     config::{LogFormat, LogSettings, Settings},
@@ -13,7 +13,7 @@
     state::job::{Answer, JobSpec, TaskSpec},
     util,
 };
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 use futures_util::future::join_all;
 use std::{
     net::SocketAddr,
@@ -31,18 +31,10 @@
 
 /// The arguments.
 pub fn command() -> Command {
-    let number = |name: &'static str, default: &'static str, help: &'static str| {
-        Arg::new(name)
-            .long(name)
-            .value_name("N")
-            .help(help)
-            .default_value(default)
-            .value_parser(value_parser!(u32).range(1..=150))
-    };
     Command::new("demo")
         .about("Runs jobs on an entry VM with an embedded platform, all in this process")
-        .arg(number("jobs", "20", "Jobs to submit"))
-        .arg(number("tasks", "12", "Tasks in each job"))
+        .arg(number_arg("jobs", "20", "Jobs to submit", 150))
+        .arg(number_arg("tasks", "12", "Tasks in each job", 150))
 }
 
 /// Runs the command.
@@ -52,7 +44,7 @@
 /// A [`CmdError`].
 pub async fn run(args: &ArgMatches) -> CmdResult {
     util::init_logs(&LogSettings { level: "warn".to_owned(), format: LogFormat::Text });
-    let (jobs, tasks): (u32, u32) = (required(args, "jobs"), required(args, "tasks"));
+    let (jobs, tasks): (u64, u64) = (required(args, "jobs"), required(args, "tasks"));
     let (stands, addresses) = start_workers().await?;
     let settings = settings(&addresses).await?;
     let entry = settings.callers;
@@ -62,7 +54,7 @@
     }));
     let caller = Caller::new(vec![entry]);
     let ids = loop {
-        match caller.tickets(jobs).await {
+        match caller.tickets(jobs as u32).await {
             Ok(ids) => break ids,
             Err(_) if !daemon.is_finished() => sleep(Duration::from_millis(20)).await,
             Err(e) => return Err(e.into()),
@@ -141,7 +133,7 @@
     Ok(Settings::parse("demo", &text.to_string())?)
 }
 
-fn job(tasks: u32) -> Result<JobSpec, CmdError> {
+fn job(tasks: u64) -> Result<JobSpec, CmdError> {
     let mut spec = JobSpec::new("drafting".parse()?, "summary".parse()?).deadline_ms(60_000);
     for i in 0..tasks as usize {
         let ms = TASK_MS[i % TASK_MS.len()];
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -153,6 +153,15 @@
     Arg::new("json").long("json").help("Writes JSON").action(ArgAction::SetTrue)
 }
 
+fn number_arg(name: &'static str, default: &'static str, help: &'static str, most: u64) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .help(help)
+        .default_value(default)
+        .value_parser(value_parser!(u64).range(1..=most))
+}
+
 fn entries(args: &ArgMatches) -> Vec<SocketAddr> {
     args.get_many("entry").unwrap_or_default().copied().collect()
 }
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -2,23 +2,22 @@
 
 use super::{
     action::{Action, Event, StartOrder},
+    admission::Refusal,
     configuration::{ConfigRow, InForce},
-    members::{MemberInfo, Members, Pulse},
+    lookup::{Lookup, SubmitError},
+    members::Members,
     scheduler::{Assignment, Scheduler},
 };
 use crate::state::{
-    id::{ConfigVersion, Incarnation, Issuer, JobId, JobNumber, TaskRef, VmName, WorkerName},
+    id::{ConfigVersion, Issuer, JobId, JobNumber, TaskRef, VmName, WorkerName},
     job::{
         Answer, Digest, FailReason, Job, JobSpec, RefuseReason, StartResult, TaskReport, TaskState,
     },
-    ledger::{ClosedEntry, ClosedLedger, Entry, Inherited, Shard, TagKey, TicketError, Tickets},
-    loan::SlotCount,
+    ledger::{Entry, Inherited, Shard, TagKey, TicketError, Tickets},
     policy::Policy,
-    pool::WorkerInfo,
     time::Moment,
-    waste::{Totals, WasteKind},
+    waste::{MessageKind, WasteKind},
 };
-use derive_more::{Display, Error, From};
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::{Mutex, MutexGuard};
 use std::{
@@ -38,62 +37,9 @@
 /// A start request that could not be written for this long after the decision is not written.
 pub const START_STALE: Duration = Duration::from_secs(2);
 
-/// Why a submission was turned down without being looked at as a job.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error, From)]
-pub enum SubmitError {
-    /// The id can't be used.
-    #[display("{_0}")]
-    Ticket(TicketError),
-    /// The team is not in the configuration.
-    #[display("team {team} is not in the configuration")]
-    #[from(skip)]
-    UnknownTeam {
-        /// The team.
-        team: crate::state::id::TeamName,
-    },
-    /// Another job was submitted under this id.
-    #[display("another job was submitted under this id")]
-    #[from(skip)]
-    Conflict,
-}
-
-/// What is known of a job.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Lookup {
-    /// Nothing was submitted under the id yet.
-    Unspent,
-    /// It is accepted; the answer will come as an action.
-    Open,
-    /// It is answered for good.
-    Final(Arc<Answer>),
-}
-
-/// What an entry VM is doing, for status and metrics.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Gauges {
-    /// Tasks that wait.
-    pub queued: usize,
-    /// Tasks handed to workers.
-    pub running: usize,
-    /// Slots that belong to this entry VM.
-    pub owned: u32,
-    /// Idle slots of its own.
-    pub idle: u32,
-    /// Slots borrowed from peers.
-    pub borrowed: u32,
-    /// Jobs without an answer.
-    pub open_jobs: usize,
-    /// Ids the ledger remembers.
-    pub entries: usize,
-    /// Workers set aside.
-    pub set_aside: usize,
-    /// Message totals.
-    pub totals: Totals,
-}
-
 #[derive(Debug, Default)]
-struct Watch {
-    last: Moment,
+pub(super) struct Watch {
+    last: Option<Moment>,
     paused: bool,
 }
 
@@ -106,7 +52,8 @@
 ///     coordination::{
 ///         action::Action,
 ///         configuration::{ConfigDocument, ConfigRow, Configuration},
-///         core::{Core, Lookup},
+///         core::Core,
+///         lookup::Lookup,
 ///     },
 ///     state::{
 ///         id::ConfigVersion,
@@ -142,15 +89,15 @@
 /// ```
 #[derive(Debug)]
 pub struct Core {
-    tickets: Tickets,
-    shards: Vec<Mutex<Shard>>,
-    scheduler: Mutex<Scheduler>,
-    members: Mutex<Members>,
-    config: Mutex<InForce>,
-    inherited: Mutex<Inherited>,
-    dispatchers: Mutex<IndexSet<VmName>>,
+    pub(super) tickets: Tickets,
+    pub(super) shards: Vec<Mutex<Shard>>,
+    pub(super) scheduler: Mutex<Scheduler>,
+    pub(super) members: Mutex<Members>,
+    pub(super) config: Mutex<InForce>,
+    pub(super) inherited: Mutex<Inherited>,
+    pub(super) dispatchers: Mutex<IndexSet<VmName>>,
     watch: Mutex<Watch>,
-    leaving: AtomicBool,
+    pub(super) leaving: AtomicBool,
 }
 
 impl Core {
@@ -230,15 +177,10 @@
         Ok(Lookup::Open)
     }
 
-    fn admit(
-        &self,
-        now: Moment,
-        scheduler: &mut Scheduler,
-        spec: &JobSpec,
-    ) -> Result<(), super::admission::Refusal> {
+    fn admit(&self, now: Moment, scheduler: &mut Scheduler, spec: &JobSpec) -> Result<(), Refusal> {
         if self.is_leaving() {
             let reason = RefuseReason::Leaving;
-            return Err(super::admission::Refusal { reason, retry_after: Duration::ZERO });
+            return Err(Refusal { reason, retry_after: Duration::ZERO });
         }
         scheduler.admit(now, spec)
     }
@@ -275,10 +217,8 @@
             Some(Entry::Closed { answer, .. }) => return Ok(Arc::clone(answer)),
             Some(Entry::Open(_)) => {}
             None => {
-                let refusal = super::admission::Refusal {
-                    reason: RefuseReason::Cancelled,
-                    retry_after: Duration::ZERO,
-                };
+                let refusal =
+                    Refusal { reason: RefuseReason::Cancelled, retry_after: Duration::ZERO };
                 return Ok(close_refused(&mut shard, id.number, None, refusal, out));
             }
         }
@@ -406,7 +346,8 @@
     }
 
     /// Hands waiting tasks to free workers.
-    fn dispatch(&self, now: Moment, out: &mut Vec<Action>) {
+    pub(super) fn dispatch(&self, now: Moment, out: &mut Vec<Action>) {
+        self.observe(now, out);
         if self.watch.lock().paused {
             return;
         }
@@ -453,8 +394,8 @@
     /// Notices a gap in the calls: the process was frozen or starved.
     fn observe(&self, now: Moment, out: &mut Vec<Action>) {
         let mut watch = self.watch.lock();
-        let gap = now - watch.last;
-        watch.last = watch.last.max(now);
+        let gap = now - watch.last.unwrap_or(now);
+        watch.last = watch.last.max(Some(now));
         if gap > PAUSE_LIMIT && !watch.paused {
             watch.paused = true;
             drop(watch);
@@ -501,154 +442,10 @@
         self.share_quotas(now);
     }
 
-    fn find_dispatchers(&self, now: Moment) -> IndexSet<VmName> {
-        let count = self.scheduler.lock().policy.dispatchers as usize;
-        self.members.lock().dispatchers(now, self.is_leaving(), count)
-    }
-
-    /// The dispatcher that ids for new jobs should come from, if it is not this entry VM.
-    pub fn dispatcher(&self) -> Option<VmName> {
-        let dispatchers = self.dispatchers.lock();
-        match dispatchers.contains(&self.issuer().vm) {
-            true => None,
-            false => dispatchers.first().cloned(),
-        }
-    }
-
-    /// Whether an entry VM of this zone dispatches to its workers.
-    pub fn is_dispatcher(&self, vm: &VmName) -> bool {
-        self.dispatchers.lock().contains(vm)
-    }
-
-    /// A peer's process has ended.
-    pub fn lost(&self, now: Moment, peer: &VmName, out: &mut Vec<Action>) {
-        self.members.lock().lost(peer);
-        self.divide(now, out);
-    }
-
-    fn divide(&self, now: Moment, out: &mut Vec<Action>) {
-        let members = self.find_dispatchers(now);
-        let mut sharing = self.dispatchers.lock();
-        if *sharing == members {
-            return;
-        }
-        *sharing = members;
-        let mut scheduler = self.scheduler.lock();
-        scheduler.divide(&sharing);
-        scheduler.lending.retain(|peer| sharing.contains(peer));
-        let owned = scheduler.pool.owned();
-        out.push(Action::Note(Event::Divided { dispatchers: sharing.len(), owned }));
-        drop((scheduler, sharing));
-        self.dispatch(now, out);
-    }
-
-    fn share_quotas(&self, now: Moment) {
-        let members = self.members.lock();
-        let mut scheduler = self.scheduler.lock();
-        let teams: Vec<_> = scheduler.demand.keys().cloned().collect();
-        let count = members.len() as f64;
-        for team in teams {
-            let own = f64::from(scheduler.demand[&team]) + 1.0;
-            let all = own + members.demand_elsewhere(&team) + (count - 1.0);
-            scheduler.share_quota(now, &team, own / all);
-        }
-    }
-
-    /// Takes over the platform's list of workers of this zone.
-    pub fn workers_listed(&self, now: Moment, list: &[WorkerInfo], out: &mut Vec<Action>) {
-        let dispatchers = self.find_dispatchers(now);
-        self.scheduler.lock().workers(list, &dispatchers);
-        self.dispatch(now, out);
-    }
-
-    /// Takes over the platform's list of entry VMs.
-    pub fn members_listed(&self, now: Moment, list: Vec<MemberInfo>, out: &mut Vec<Action>) {
-        self.members.lock().list(list);
-        self.divide(now, out);
-    }
-
-    /// A worker says itself that it is leaving.
-    pub fn worker_leaving(&self, worker: &WorkerName) {
-        self.scheduler.lock().worker_leaving(worker);
-    }
-
-    /// Learns from a peer's heartbeat. `held` is what it still holds of our slots, if it is in
-    /// our zone.
-    pub fn heard(
-        &self,
-        now: Moment,
-        from: &VmName,
-        incarnation: Incarnation,
-        pulse: Pulse,
-        held: &[SlotCount],
-        out: &mut Vec<Action>,
-    ) {
-        let mut members = self.members.lock();
-        let in_zone = members.zone_peers().any(|peer| peer.vm == *from);
-        let idle = if pulse.leaving { 0 } else { pulse.idle };
-        members.heard(now, from, incarnation, pulse);
-        drop(members);
-        if in_zone {
-            let mut scheduler = self.scheduler.lock();
-            scheduler.lending.idle_at(from, idle);
-            scheduler.lending.lent.renew(now, from, held);
-            drop(scheduler);
-            self.divide(now, out);
-        }
-    }
-
-    /// What this entry VM says of itself to `to`, and what it holds of `to`'s slots.
-    pub fn pulse(&self, now: Moment, to: &VmName, demand: bool) -> (Pulse, Vec<SlotCount>) {
-        let scheduler = self.scheduler.lock();
-        let queued = scheduler.queue.len() as u32;
-        let pulse = Pulse {
-            queued,
-            idle: if queued == 0 { scheduler.pool.idle(now) } else { 0 },
-            leaving: self.is_leaving(),
-            demand: demand.then(|| scheduler.demand.clone()),
-        };
-        (pulse, scheduler.lending.held.from(to))
-    }
-
-    /// Halves the counts of demand, so that they follow the present; called once per round
-    /// of heartbeats that tell them.
-    pub fn age_demand(&self) {
-        let mut scheduler = self.scheduler.lock();
-        scheduler.demand.values_mut().for_each(|tasks| *tasks /= 2);
-        scheduler.demand.retain(|_, tasks| *tasks > 0);
-    }
-
-    /// Lends idle slots to a zone peer.
-    pub fn lend(&self, now: Moment, to: &VmName, slots: u32) -> Vec<SlotCount> {
-        match self.is_leaving() {
-            true => Vec::new(),
-            false => self.scheduler.lock().lend(now, to, slots),
-        }
-    }
-
-    /// Takes in slots that a peer granted for a request made at `asked`.
-    pub fn granted(
-        &self,
-        now: Moment,
-        asked: Moment,
-        lender: &VmName,
-        grants: &[SlotCount],
-        out: &mut Vec<Action>,
-    ) {
-        self.scheduler.lock().granted(asked, lender, grants);
-        self.dispatch(now, out);
-    }
-
-    /// Takes back slots from a borrower.
-    pub fn returned(&self, now: Moment, from: &VmName, slots: &[SlotCount], out: &mut Vec<Action>) {
-        self.scheduler.lock().returned(from, slots);
-        self.dispatch(now, out);
-    }
-
     /// Counts a stop request and how many of its tasks had ended before it came.
     pub fn stopped(&self, late: u32) {
         let mut scheduler = self.scheduler.lock();
-        scheduler.totals.message(crate::state::waste::MessageKind::Stop);
+        scheduler.totals.message(MessageKind::Stop);
         if late > 0 {
             scheduler.totals.waste(WasteKind::LateStop);
         }
@@ -676,58 +473,6 @@
         self.config.lock().row().version
     }
 
-    /// Takes no new jobs from now on; what is accepted is finished.
-    pub fn leave(&self, now: Moment, out: &mut Vec<Action>) {
-        if !self.leaving.swap(true, Ordering::SeqCst) {
-            out.push(Action::Note(Event::Leaving));
-            self.dispatch(now, out);
-        }
-    }
-
-    /// Whether every accepted job has its answer.
-    pub fn is_drained(&self) -> bool {
-        let open = |entry: &Entry| matches!(entry, Entry::Open(_));
-        !self.shards.iter().any(|shard| shard.lock().entries().any(|(_, entry)| open(entry)))
-    }
-
-    /// The closed ledger to hand over, and those inherited from others. Only a leaving entry VM
-    /// whose jobs are all answered has one.
-    pub fn close_ledger(&self, now: Moment) -> Option<Vec<ClosedLedger>> {
-        if !self.is_leaving() || !self.is_drained() {
-            return None;
-        }
-        let (oldest_live, next) = self.tickets.expire(now);
-        let mut answers = IndexMap::new();
-        for shard in &self.shards {
-            for (number, entry) in shard.lock().entries() {
-                if let Entry::Closed { digest, answer } = entry {
-                    answers.insert(*number, (*digest, Arc::clone(answer)));
-                }
-            }
-        }
-        let own = ClosedLedger {
-            issuer: self.issuer().clone(),
-            key: self.tickets.key(),
-            next,
-            oldest_live,
-            answers,
-        };
-        let mut ledgers = self.inherited.lock().take();
-        ledgers.push(own);
-        Some(ledgers)
-    }
-
-    /// Answers from now on for an entry VM that left.
-    pub fn adopt(&self, now: Moment, ledger: ClosedLedger, out: &mut Vec<Action>) {
-        out.push(Action::Note(Event::Inherited { vm: ledger.issuer.vm.clone() }));
-        self.inherited.lock().adopt(now, ledger);
-    }
-
-    /// What is known of an id whose issuer has left and whose ledger is here; none if it is not.
-    pub fn inherited(&self, id: &JobId) -> Option<Result<ClosedEntry, TicketError>> {
-        self.inherited.lock().get(id.issuer.incarnation).map(|ledger| ledger.look_up(id))
-    }
-
     /// Calls `f` with the membership.
     pub fn with_members<T, F>(&self, f: F) -> T
     where
@@ -743,26 +488,6 @@
     {
         f(&self.scheduler.lock())
     }
-
-    /// Figures for status and metrics.
-    pub fn gauges(&self, now: Moment) -> Gauges {
-        let mut gauges = Gauges::default();
-        for shard in &self.shards {
-            for (_, entry) in shard.lock().entries() {
-                gauges.entries += 1;
-                gauges.open_jobs += usize::from(matches!(entry, Entry::Open(_)));
-            }
-        }
-        let scheduler = self.scheduler.lock();
-        gauges.queued = scheduler.waiting();
-        gauges.running = scheduler.running();
-        gauges.owned = scheduler.pool.owned();
-        gauges.idle = scheduler.pool.idle(now);
-        gauges.borrowed = scheduler.lending.held.len();
-        gauges.set_aside = scheduler.health.aside();
-        gauges.totals = scheduler.totals;
-        gauges
-    }
 }
 
 fn joined(entry: &Entry, digest: Digest) -> Result<Lookup, SubmitError> {
@@ -783,7 +508,7 @@
     shard: &mut Shard,
     number: JobNumber,
     digest: Option<Digest>,
-    refusal: super::admission::Refusal,
+    refusal: Refusal,
     out: &mut Vec<Action>,
 ) -> Arc<Answer> {
     let retry_after_ms = refusal.retry_after.as_millis() as u64;
--- a/src/daemon/jobs.rs
+++ b/src/daemon/jobs.rs
@@ -3,7 +3,7 @@
 use super::Daemon;
 use crate::{
     coordination::{
-        core::{Lookup, SubmitError},
+        lookup::{Lookup, SubmitError},
         members::{MemberInfo, SILENCE_LIMIT},
     },
     cranberrytray_capnp::Verb,
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -2,7 +2,7 @@
 
 use super::Daemon;
 use crate::{
-    coordination::core::Gauges,
+    coordination::lookup::Gauges,
     transport::traffic::{PEERS, PLATFORM},
 };
 use prometheus_client::{
--- a/src/trial/step.rs
+++ b/src/trial/step.rs
@@ -8,7 +8,8 @@
 use crate::{
     coordination::{
         action::{Action, Event as Note, StartOrder},
-        core::{Core, Lookup},
+        core::Core,
+        lookup::Lookup,
     },
     state::{id::VmName, job::StartResult, ledger::TicketError, loan::SlotCount, time::Moment},
 };
--- a/tests/core_cases.rs
+++ b/tests/core_cases.rs
@@ -4,7 +4,8 @@
     coordination::{
         action::Action,
         configuration::{ConfigDocument, ConfigRow, Configuration},
-        core::{Core, Lookup},
+        core::Core,
+        lookup::Lookup,
     },
     state::{
         id::{ConfigVersion, JobId, WorkerName},
@@ -118,3 +119,27 @@
     let told = core.submit(later, &id, spec(1), &mut Vec::new());
     assert_eq!(told, Ok(Lookup::Open));
 }
+
+#[test]
+fn wake_after_gap_starts_nothing_before_recheck() {
+    let core = core(Policy::default(), &["w-1"]);
+    let mut out = Vec::new();
+    core.submit(NOW, &ticket(&core), spec(4), &mut out).unwrap();
+    assert_eq!(starts(&out).len(), 2);
+    let later = NOW + Duration::from_secs(5);
+    let list = ["w-1", "w-2"].map(|name| WorkerInfo::new(name.parse().unwrap(), "127.0.0.1:1"));
+    let mut out = Vec::new();
+    core.workers_listed(later, &list, &mut out);
+    assert!(starts(&out).is_empty(), "{out:?}");
+    assert!(out.iter().any(|action| matches!(action, Action::Recheck)), "{out:?}");
+    core.rechecked(later, &mut out);
+    assert_eq!(starts(&out).len(), 2);
+}
+
+#[test]
+fn tick_first_of_a_late_start_is_no_gap() {
+    let fresh = Core::new(issuer("a", "a-1", 1).unwrap(), TagKey([1; 16]), Policy::default(), 1);
+    let mut out = Vec::new();
+    fresh.tick(NOW + Duration::from_secs(60), &mut out);
+    assert!(!out.iter().any(|action| matches!(action, Action::Recheck)), "{out:?}");
+}
