--- a/tests/core_random.rs
+++ b/tests/core_random.rs
@@ -20,7 +20,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::time::Duration;
 
-const SEEDS: u64 = 150;
+const SEEDS: u64 = 400;
 const STEP: Duration = Duration::from_millis(50);
 const STEPS: u32 = 400;
 /// Long enough for every deadline and lease to pass, and every lost slot to come back.
