--- /dev/null
+++ b/schema/fleet.capnp
@@ -0,0 +1,91 @@
+@0xb1f7c9a2d35e6804;
+# The protocol between the VMs that run jobs on leased targets.
+
+struct Member {
+  vm @0 :Text;
+  zone @1 :Text;
+  address @2 :Text;
+  # Where this protocol is served, IP:PORT.
+  weight @3 :UInt32;
+  # Processor share, in thousandths of a core; the strongest VM dispatches.
+  incarnation @4 :UInt64;
+}
+
+struct Resources {
+  milliCores @0 :UInt64;
+  mebibytes @1 :UInt64;
+  accelerators @2 :UInt64;
+}
+
+struct Step {
+  count @0 :UInt32;
+  needs @1 :Resources;
+  declaredMs @2 :UInt64;
+  # 0 if the caller gave no estimate.
+  after @3 :List(UInt32);
+  required @4 :Text;
+  # Empty if no label is required.
+  near @5 :Text;
+  # Empty if the task's data has no place.
+  sameRack @6 :Bool;
+  mostPerTarget @7 :UInt32;
+  # 0 if there is no bound.
+}
+
+struct Work {
+  id @0 :UInt64;
+  queue @1 :Text;
+  spec @2 :Text;
+  steps @3 :List(Step);
+  patienceMs @4 :UInt32;
+}
+
+enum Verdict {
+  completed @0;
+  failed @1;
+  notRun @2;
+  unknown @3;
+}
+
+enum Refusal {
+  tooLate @0;
+  queueFull @1;
+  noTarget @2;
+  noDispatcher @3;
+  closed @4;
+  noQueue @5;
+  shape @6;
+}
+
+struct Outcome {
+  verdict @0 :Verdict;
+  refusal @1 :Refusal;
+  retryAfterMs @2 :UInt32;
+}
+
+struct ZoneDispatcher {
+  zone @0 :Text;
+  address @1 :Text;
+}
+
+struct Beat {
+  # What a VM says of itself.
+  from @0 :Member;
+  planVersion @1 :UInt64;
+  dispatcher @2 :Text;
+  # Address of the dispatcher of the sender's zone; empty if none is known.
+  epoch @3 :UInt64;
+  # Of that dispatcher; the higher one stays where two meet.
+  spareMilliCores @4 :UInt64;
+  # Free for other zones; sent by dispatchers.
+  zones @5 :List(ZoneDispatcher);
+  leaving @6 :Bool;
+}
+
+interface Peer {
+  beat @0 (beat :Beat) -> (beat :Beat);
+  run @1 (work :Work, mayPass :Bool) -> (outcome :Outcome);
+  # Answered when the job has ended; dropping the call cancels the job.
+  snapshot @2 () -> (planVersion :UInt64, plan :Data, members :List(Member));
+  # The configuration in force, as JSON, and the VMs that the sender knows.
+}
--- /dev/null
+++ b/src/coordination/dispatch/admit.rs
@@ -0,0 +1,224 @@
+//! Which jobs are let in, passed to another zone, or refused at once.
+
+use super::{Action, Dispatch, JobKey, MAX_JOBS, Note, Rank, job::Job};
+use crate::state::{
+    id::ZoneName,
+    plan::Queue,
+    time::Moment,
+    work::{Outcome, Refusal, Work},
+};
+use indexmap::IndexMap;
+use std::{collections::VecDeque, time::Duration};
+
+/// An answer takes this long to reach the caller.
+const ANSWER_TIME: Duration = Duration::from_millis(15);
+/// Shortest time after which a refused caller may come back.
+const SHORTEST_RETRY: Duration = Duration::from_millis(300);
+/// Longest time after which a refused caller may come back.
+const LONGEST_RETRY: Duration = Duration::from_secs(5);
+/// What another zone's dispatcher said is used for this long.
+const NEIGHBOUR_AGE: Duration = Duration::from_millis(700);
+/// A caller is told to come back after this long where no target is known.
+const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
+
+impl Dispatch {
+    /// A caller's job; `may_pass` unless another zone passed it here.
+    pub fn submit(&mut self, work: Work, may_pass: bool, now: Moment) -> JobKey {
+        self.check_gap(now);
+        self.next_key += 1;
+        let key = JobKey(self.next_key);
+        if let Some(&first) = self.ids.get(&work.id) {
+            if let Some(job) = self.jobs.get_mut(&first) {
+                job.joined.push(key);
+            }
+        } else if self.closing.contains_key(&work.id) {
+            self.parked.push((key, work, now));
+        } else {
+            self.admit_or_pass(key, work, now, may_pass, now);
+        }
+        self.fill(now);
+        key
+    }
+
+    /// The caller has left.
+    pub fn cancel(&mut self, key: JobKey, now: Moment) {
+        self.check_gap(now);
+        self.parked.retain(|(parked, _, _)| *parked != key);
+        if let Some(job) = self.jobs.values_mut().find(|job| job.joined.contains(&key)) {
+            job.joined.retain(|joined| *joined != key);
+            return;
+        }
+        let Some(job) = self.jobs.get(&key) else { return };
+        if job.joined.is_empty() {
+            self.settle_unfinished(key, "its caller left");
+            self.fill(now);
+        }
+    }
+
+    /// What became of a job that was passed to another zone.
+    pub fn passed(&mut self, key: JobKey, outcome: Outcome, now: Moment) {
+        self.check_gap(now);
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        job.passed = false;
+        match outcome {
+            Outcome::NotRun { .. } => {
+                self.enqueue(key);
+                self.fill(now);
+                self.refuse_hopeless(now);
+            }
+            Outcome::Unknown => {
+                job.sent = true;
+                self.settle(key, Outcome::Unknown);
+            }
+            outcome => self.settle(key, outcome),
+        }
+    }
+
+    pub(super) fn admit(&mut self, key: JobKey, work: Work, arrived: Moment, now: Moment) {
+        self.admit_or_pass(key, work, arrived, false, now);
+    }
+
+    fn admit_or_pass(
+        &mut self,
+        key: JobKey,
+        work: Work,
+        arrived: Moment,
+        may_pass: bool,
+        now: Moment,
+    ) {
+        let Some(queue) = self.plan.queue(&work.queue).cloned() else {
+            return self.refuse(key, &work, Refusal::NoQueue, NO_TARGET_RETRY, Duration::ZERO);
+        };
+        let id = work.id;
+        let job = self.new_job(work, &queue, arrived);
+        let rank = Rank { late: false, priority: job.priority, key };
+        let mut forecast = self.forecast(now);
+        self.put_ahead(&mut forecast, Some(rank), now);
+        let ahead = self.waiting.iter().take_while(|other| **other < rank).count();
+        let base = job.work.steps.first().map(|step| self.base_time(&job.work.queue, step));
+        let end = forecast.put(job.waiting.len(), base.unwrap_or_default(), now);
+        let cpu: u64 = job.work.steps.iter().map(|s| s.needs.cpu.0 * u64::from(s.count)).sum();
+        let late = end.is_none_or(|end| end > job.objective);
+        let zone = if late && may_pass { self.free_neighbour(cpu, now) } else { None };
+        if let Some(zone) = zone {
+            return self.pass(key, job, zone, cpu);
+        }
+        let Some(end) = end else {
+            return self.refuse(key, &job.work, Refusal::NoTarget, NO_TARGET_RETRY, Duration::ZERO);
+        };
+        let expected = end - now;
+        if self.jobs.len() >= MAX_JOBS {
+            return self.refuse(key, &job.work, Refusal::QueueFull, SHORTEST_RETRY, expected);
+        }
+        if end + ANSWER_TIME > job.deadline {
+            let back = retry_after(end - job.objective);
+            return self.refuse(key, &job.work, Refusal::TooLate, back, expected);
+        }
+        self.counts.admitted += 1;
+        self.note(Note::Admitted { id, queue: queue.name, expected, ahead });
+        self.ids.insert(id, key);
+        self.jobs.insert(key, job);
+        self.enqueue(key);
+    }
+
+    fn new_job(&self, work: Work, queue: &Queue, arrived: Moment) -> Job {
+        let chain: Duration = work.steps.iter().map(|s| self.base_time(&work.queue, s)).sum();
+        let mut job = Job {
+            joined: Vec::new(),
+            arrived,
+            deadline: arrived + work.patience.min(queue.timeout),
+            objective: arrived + chain.mul_f64(queue.stretch) + queue.allowance,
+            priority: queue.priority,
+            max_attempts: queue.max_attempts.max(1),
+            tasks: IndexMap::new(),
+            waiting: VecDeque::new(),
+            sent: false,
+            passed: false,
+            late: false,
+            work,
+        };
+        job.open_steps();
+        job
+    }
+
+    fn free_neighbour(&self, cpu: u64, now: Moment) -> Option<ZoneName> {
+        let fresh = |n: &crate::coordination::dispatch::Neighbour| {
+            now - n.heard <= NEIGHBOUR_AGE && n.free >= cpu
+        };
+        let free = self.neighbours.iter().filter(|(_, n)| fresh(n));
+        free.max_by_key(|(_, n)| n.free).map(|(zone, _)| zone.clone())
+    }
+
+    fn pass(&mut self, key: JobKey, mut job: Job, zone: ZoneName, cpu: u64) {
+        if let Some(neighbour) = self.neighbours.get_mut(&zone) {
+            neighbour.free -= cpu;
+        }
+        job.passed = true;
+        self.counts.passed += 1;
+        let work = job.work.clone();
+        self.ids.insert(work.id, key);
+        self.jobs.insert(key, job);
+        self.actions.push(Action::Pass { key, zone, work });
+    }
+
+    fn refuse(
+        &mut self,
+        key: JobKey,
+        work: &Work,
+        refusal: Refusal,
+        retry_after: Duration,
+        expected: Duration,
+    ) {
+        self.counts.refused += 1;
+        self.note(Note::Refused { id: work.id, refusal, expected });
+        let outcome = Outcome::NotRun { refusal, retry_after };
+        self.actions.push(Action::Answer { key, id: work.id, outcome });
+    }
+
+    /// Answers jobs whose deadline has passed.
+    pub(super) fn expire_jobs(&mut self, now: Moment) {
+        let expired = self.jobs.iter().filter(|(_, job)| job.deadline <= now);
+        let expired: Vec<JobKey> = expired.map(|(key, _)| *key).collect();
+        for key in expired {
+            self.settle_unfinished(key, "its deadline has passed");
+        }
+        let parked = std::mem::take(&mut self.parked);
+        for (key, work, arrived) in parked {
+            if arrived + work.patience <= now {
+                let outcome = Outcome::Unknown;
+                self.actions.push(Action::Answer { key, id: work.id, outcome });
+            } else {
+                self.parked.push((key, work, arrived));
+            }
+        }
+    }
+
+    /// Refuses jobs of which nothing has started and that will not be done in time.
+    pub(super) fn refuse_hopeless(&mut self, now: Moment) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut forecast = self.forecast(now);
+        let ranks: Vec<Rank> = self.waiting.iter().copied().collect();
+        for rank in ranks {
+            let mut trial = forecast.clone();
+            let end = self.put_job(&mut trial, rank.key, now);
+            let Some(job) = self.jobs.get(&rank.key) else { continue };
+            let hopeless = end.is_none_or(|end| end + ANSWER_TIME > job.deadline);
+            if !hopeless || job.sent {
+                forecast = trial;
+                continue;
+            }
+            let expected = end.map_or(Duration::ZERO, |end| end - now);
+            let retry_after = retry_after(expected);
+            let refusal = Refusal::TooLate;
+            let id = job.work.id;
+            self.note(Note::Refused { id, refusal, expected });
+            self.settle(rank.key, Outcome::NotRun { refusal, retry_after });
+        }
+    }
+}
+
+fn retry_after(span: Duration) -> Duration {
+    span.clamp(SHORTEST_RETRY, LONGEST_RETRY)
+}
--- /dev/null
+++ b/src/coordination/dispatch/job.rs
@@ -0,0 +1,169 @@
+//! A job that is being run, and its tasks.
+
+use super::{Dispatch, JobKey, Note, Rank};
+use crate::{
+    coordination::dispatch::Action,
+    state::{
+        plan::Priority,
+        target::TargetId,
+        time::Moment,
+        work::{Outcome, Refusal, RunNumber, Step, TaskId, Work},
+    },
+};
+use indexmap::IndexMap;
+use std::{collections::VecDeque, time::Duration};
+
+/// What is known of one task.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// Runs that failed.
+    pub failures: u32,
+    /// The number of the last run.
+    pub last_run: u32,
+    /// Where it may be running.
+    pub on: Option<TargetId>,
+    /// Whether it has ended well.
+    pub done: bool,
+    /// Stopped once as a straggler.
+    pub restarted: bool,
+}
+
+/// A job that was let in.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// What its caller asked for.
+    pub work: Work,
+    /// Other submissions with the same id.
+    pub joined: Vec<JobKey>,
+    /// When it arrived.
+    pub arrived: Moment,
+    /// When its caller stops waiting.
+    pub deadline: Moment,
+    /// When it should be done.
+    pub objective: Moment,
+    /// Its queue's urgency.
+    pub priority: Priority,
+    /// Failed runs a task may have.
+    pub max_attempts: u32,
+    /// Its tasks.
+    pub tasks: IndexMap<TaskId, Task>,
+    /// Tasks that wait for a target.
+    pub waiting: VecDeque<TaskId>,
+    /// Whether a start was ever sent, so that a refusal would be false.
+    pub sent: bool,
+    /// Whether it was passed to another zone.
+    pub passed: bool,
+    /// The rank under which it waits.
+    pub late: bool,
+}
+
+impl Job {
+    /// The step of a task.
+    pub fn step(&self, task: TaskId) -> Option<&Step> {
+        self.work.steps.get(task.step as usize)
+    }
+
+    /// Tasks that have not ended well.
+    pub fn unfinished(&self) -> usize {
+        self.tasks.values().filter(|t| !t.done).count()
+    }
+
+    /// Tasks of a step that run on a target.
+    pub fn on_target(&self, step: u32, target: &TargetId) -> u32 {
+        let there = |(id, task): &(&TaskId, &Task)| {
+            id.step == step && !task.done && task.on.as_ref() == Some(target)
+        };
+        self.tasks.iter().filter(there).count() as u32
+    }
+
+    /// Whether all tasks of a step have ended well.
+    pub fn step_done(&self, step: u32) -> bool {
+        self.tasks.iter().filter(|(id, _)| id.step == step).all(|(_, task)| task.done)
+    }
+
+    /// Puts the tasks of steps that may begin now into the waiting list.
+    pub fn open_steps(&mut self) {
+        for number in 0..self.work.steps.len() as u32 {
+            let after = self.work.steps[number as usize].after.clone();
+            let first = TaskId { job: self.work.id, step: number, index: 0 };
+            if self.tasks.contains_key(&first) || !after.iter().all(|&s| self.step_done(s)) {
+                continue;
+            }
+            for index in 0..self.work.steps[number as usize].count {
+                let id = TaskId { index, ..first };
+                self.tasks.insert(id, Task::default());
+                self.waiting.push_back(id);
+            }
+        }
+    }
+
+    /// Whether every step has begun and every task has ended well.
+    pub fn is_done(&self) -> bool {
+        let total: u64 = self.work.steps.iter().map(|s| u64::from(s.count)).sum();
+        self.tasks.len() as u64 == total && self.tasks.values().all(|t| t.done)
+    }
+
+    /// The next run number of a task.
+    pub fn next_run(&mut self, task: TaskId) -> RunNumber {
+        let Some(task) = self.tasks.get_mut(&task) else { return RunNumber(1) };
+        task.last_run += 1;
+        RunNumber(task.last_run)
+    }
+}
+
+impl Dispatch {
+    pub(super) fn rank(&self, key: JobKey) -> Option<Rank> {
+        let job = self.jobs.get(&key)?;
+        Some(Rank { late: job.late, priority: job.priority, key })
+    }
+
+    /// Puts a job's rank in line with whether it has tasks that wait.
+    pub(super) fn enqueue(&mut self, key: JobKey) {
+        let Some(rank) = self.rank(key) else { return };
+        let waits = self.jobs.get(&key).is_some_and(|j| !j.waiting.is_empty() && !j.passed);
+        if waits {
+            self.waiting.insert(rank);
+        } else {
+            self.waiting.remove(&rank);
+        }
+    }
+
+    /// Removes a job, answers it and stops what it has running.
+    pub(super) fn settle(&mut self, key: JobKey, outcome: Outcome) {
+        let Some(rank) = self.rank(key) else { return };
+        self.waiting.remove(&rank);
+        let Some(job) = self.jobs.swap_remove(&key) else { return };
+        let id = job.work.id;
+        self.ids.swap_remove(&id);
+        match outcome {
+            Outcome::Completed => self.counts.completed += 1,
+            Outcome::Unknown => self.counts.unknown += 1,
+            Outcome::NotRun { .. } => self.counts.refused += 1,
+            Outcome::Failed => {}
+        }
+        if job.passed {
+            self.actions.push(Action::Recall(key));
+        }
+        for key in [key].into_iter().chain(job.joined.iter().copied()) {
+            self.actions.push(Action::Answer { key, id, outcome });
+        }
+        let open = job.tasks.iter().filter(|(_, t)| !t.done);
+        let open: Vec<_> = open.filter_map(|(id, t)| Some((*id, t.on.clone()?))).collect();
+        for (task, target) in open {
+            self.disown_run(task, &target);
+        }
+    }
+
+    /// Settles a job that is given up: refused if nothing of it was ever sent.
+    pub(super) fn settle_unfinished(&mut self, key: JobKey, reason: &'static str) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        let id = job.work.id;
+        let outcome = if job.sent || job.passed {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun { refusal: Refusal::Closed, retry_after: Duration::from_secs(1) }
+        };
+        self.note(Note::GaveUp { id, reason });
+        self.settle(key, outcome);
+    }
+}
--- /dev/null
+++ b/src/coordination/dispatch/mod.rs
@@ -0,0 +1,374 @@
+//! Runs jobs on the targets of one availability zone, which one dispatcher owns at a time.
+//!
+//! Everything that runs on a target holds a lease, which the owner extends. A dispatcher takes a
+//! target over by a higher fencing token: it looks at what runs there, stops it, and starts work
+//! once nothing is left. A run that may exist is closed only by the target's word that it ended or
+//! is not there, by a new incarnation of the target, or by the end of its lease; until then its
+//! task runs nowhere else.
+
+pub mod admit;
+pub mod forecast;
+pub mod job;
+pub mod own;
+pub mod place;
+pub mod replies;
+pub mod runs;
+
+use crate::state::{
+    id::ZoneName,
+    plan::{Label, Plan, QueueName},
+    speed::Speeds,
+    target::{Fence, Life, Target, TargetId, TargetTime},
+    time::Moment,
+    work::{Outcome, Refusal, RunNumber, TaskId, Work, WorkId},
+};
+use derive_more::Display;
+use indexmap::IndexMap;
+use job::Job;
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+
+/// How long a lease is; the platform allows a second at most, and a caller that saw its connection
+/// break resubmits after 1.3 s.
+pub const LEASE: Duration = Duration::from_millis(900);
+/// Longest wait of a request that extends leases; leaves half a lease for a lost answer.
+pub const HOLD_WAIT: Duration = Duration::from_millis(300);
+/// Share by which a target's clock may be slow, in percent.
+const CLOCK_DRIFT_PERCENT: u32 = 2;
+/// Added to the end of a lease before its runs count as gone: the granularity of timers.
+const LEASE_MARGIN: Duration = Duration::from_millis(40);
+/// A gap between two calls of the core after which the process is taken to have been suspended:
+/// by then, leases may have run out.
+const WAKE_GAP: Duration = Duration::from_millis(650);
+/// A stop unconfirmed for this long ends the extension of the target's leases, so that the run
+/// lapses before its caller resubmits.
+const STOP_PATIENCE: Duration = Duration::from_millis(350);
+/// Jobs that wait at most; more than a deadline's worth of work at the largest sites.
+const MAX_JOBS: usize = 4_096;
+
+/// The dispatcher's own number for a submission.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobKey(pub u64);
+
+/// Where an order goes and what it concerns.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The target.
+    pub target: TargetId,
+    /// The incarnation it is meant for.
+    pub life: Life,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The dispatcher's fencing token.
+    pub fence: Fence,
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: RunNumber,
+}
+
+/// What the driver has to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Start a run.
+    Start {
+        /// Which and where.
+        order: Order,
+        /// What the target is told.
+        spec: Arc<str>,
+        /// The end of its lease.
+        until: TargetTime,
+    },
+    /// Stop a run.
+    Stop(Order),
+    /// Answer a submission.
+    Answer {
+        /// The submission.
+        key: JobKey,
+        /// The job's id.
+        id: WorkId,
+        /// What became of it.
+        outcome: Outcome,
+    },
+    /// Pass a job to the dispatcher of another zone; answered by [`Dispatch::passed`].
+    Pass {
+        /// The submission.
+        key: JobKey,
+        /// The zone.
+        zone: ZoneName,
+        /// The job.
+        work: Work,
+    },
+    /// Drop a job that was passed on.
+    Recall(JobKey),
+    /// A new target: start asking [`Dispatch::next_hold`].
+    Watch(TargetId),
+    /// Another dispatcher has taken a target.
+    Fenced(TargetId),
+    /// Something for the log.
+    Note(Note),
+}
+
+/// A decision or a changed belief, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A job was let in.
+    Admitted {
+        /// The job.
+        id: WorkId,
+        /// Its queue.
+        queue: QueueName,
+        /// Expected time until it is done.
+        expected: Duration,
+        /// Tasks that wait before it.
+        ahead: usize,
+    },
+    /// A job was refused.
+    Refused {
+        /// The job.
+        id: WorkId,
+        /// Why.
+        refusal: Refusal,
+        /// Expected time until it would have been done.
+        expected: Duration,
+    },
+    /// A run was closed otherwise than by success.
+    RunEnded {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: RunNumber,
+        /// The target.
+        target: TargetId,
+        /// How it ended.
+        how: &'static str,
+    },
+    /// A run was stopped since it is far behind its expected end.
+    Straggler {
+        /// The task.
+        task: TaskId,
+        /// The target.
+        target: TargetId,
+        /// How long it has run.
+        after: Duration,
+    },
+    /// A job was given up.
+    GaveUp {
+        /// The job.
+        id: WorkId,
+        /// Why.
+        reason: &'static str,
+    },
+    /// A target is given no work for a while.
+    SetAside {
+        /// The target.
+        target: TargetId,
+        /// For how long.
+        pause: Duration,
+    },
+    /// What is believed of a target has changed.
+    TargetIs {
+        /// The target.
+        target: TargetId,
+        /// The new belief.
+        state: &'static str,
+    },
+    /// The process was suspended; all that was in progress is given up.
+    Woke {
+        /// For how long.
+        gap: Duration,
+    },
+}
+
+/// What another zone offers, as its dispatcher last said.
+#[derive(Clone, Debug)]
+pub struct Neighbour {
+    /// Free processor, in thousandths of a core, less what was passed there since.
+    pub free: u64,
+    /// When it was heard.
+    pub heard: Moment,
+}
+
+/// The key by which jobs wait, most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    /// Jobs past their latency objective come after all others.
+    late: bool,
+    priority: crate::state::plan::Priority,
+    key: JobKey,
+}
+
+/// Counts for the metrics.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Jobs let in.
+    pub admitted: u64,
+    /// Jobs refused.
+    pub refused: u64,
+    /// Jobs passed to another zone.
+    pub passed: u64,
+    /// Jobs completed.
+    pub completed: u64,
+    /// Jobs whose outcome is unknown.
+    pub unknown: u64,
+    /// Starts sent.
+    pub starts: u64,
+    /// Starts refused for want of room.
+    pub room_refusals: u64,
+    /// Stops sent.
+    pub stops: u64,
+    /// Runs that failed.
+    pub failures: u64,
+    /// Runs whose lease ran out.
+    pub lapses: u64,
+    /// Runs stopped as stragglers.
+    pub stragglers: u64,
+    /// Targets set aside.
+    pub set_aside: u64,
+}
+
+/// The decisions of a zone's dispatcher.
+#[derive(Debug)]
+pub struct Dispatch {
+    fence: Fence,
+    plan: Arc<Plan>,
+    targets: IndexMap<TargetId, Target>,
+    jobs: IndexMap<JobKey, Job>,
+    ids: IndexMap<WorkId, JobKey>,
+    waiting: BTreeSet<Rank>,
+    /// Runs not closed of jobs that are given up.
+    closing: IndexMap<WorkId, u32>,
+    /// Submissions that wait for such runs.
+    parked: Vec<(JobKey, Work, Moment)>,
+    neighbours: IndexMap<ZoneName, Neighbour>,
+    speeds: Speeds<QueueName, Label>,
+    counts: Counts,
+    next_key: u64,
+    last_call: Moment,
+    open: bool,
+    actions: Vec<Action>,
+}
+
+impl Dispatch {
+    /// A dispatcher that owns nothing yet.
+    pub fn new(fence: Fence, plan: Arc<Plan>, now: Moment) -> Self {
+        Dispatch {
+            fence,
+            plan,
+            targets: IndexMap::new(),
+            jobs: IndexMap::new(),
+            ids: IndexMap::new(),
+            waiting: BTreeSet::new(),
+            closing: IndexMap::new(),
+            parked: Vec::new(),
+            neighbours: IndexMap::new(),
+            speeds: Speeds::default(),
+            counts: Counts::default(),
+            next_key: 0,
+            last_call: now,
+            open: true,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Its fencing token.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// Its counts so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Jobs that are not answered.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len() + self.parked.len()
+    }
+
+    /// Targets that it may start work on.
+    pub fn usable_targets(&self) -> usize {
+        self.targets.values().filter(|t| t.taken && t.silent_since.is_none()).count()
+    }
+
+    /// Replaces the configuration; lower versions are ignored.
+    pub fn configure(&mut self, plan: Arc<Plan>) {
+        if plan.version > self.plan.version {
+            self.plan = plan;
+        }
+    }
+
+    /// Takes in what another zone's dispatcher offers.
+    pub fn neighbour(&mut self, zone: ZoneName, free: u64, now: Moment) {
+        self.neighbours.insert(zone, Neighbour { free, heard: now });
+    }
+
+    /// Free processor for other zones, in thousandths of a core: none while jobs wait here.
+    pub fn spare(&self, now: Moment) -> u64 {
+        if !self.waiting.is_empty() {
+            return 0;
+        }
+        self.targets.values().filter(|t| self.is_usable(t, now)).map(|t| t.room().cpu.0).sum()
+    }
+
+    /// The actions decided since the last call.
+    pub fn drain(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Does what is due: deadlines, leases, stops that were not confirmed. To be called every few
+    /// tens of milliseconds.
+    pub fn tick(&mut self, now: Moment) {
+        self.check_gap(now);
+        self.expire_jobs(now);
+        self.refuse_hopeless(now);
+        self.check_targets(now);
+        self.check_runs(now);
+        self.fill(now);
+    }
+
+    /// Gives everything up, since another dispatcher owns the targets.
+    pub fn abandon(&mut self) {
+        let keys: Vec<JobKey> = self.jobs.keys().copied().collect();
+        for key in keys {
+            self.settle_unfinished(key, "the dispatcher stepped down");
+        }
+        for (key, work, _) in std::mem::take(&mut self.parked) {
+            let outcome = Outcome::Unknown;
+            self.actions.push(Action::Answer { key, id: work.id, outcome });
+        }
+        self.targets.clear();
+        self.closing.clear();
+        self.open = false;
+    }
+
+    fn check_gap(&mut self, now: Moment) {
+        let gap = now - self.last_call;
+        self.last_call = self.last_call.max(now);
+        if gap <= WAKE_GAP {
+            return;
+        }
+        self.note(Note::Woke { gap });
+        let keys: Vec<JobKey> = self.jobs.keys().copied().collect();
+        for key in keys {
+            self.settle_unfinished(key, "the process was suspended");
+        }
+        for target in self.targets.values_mut() {
+            target.taken = false;
+        }
+    }
+
+    fn note(&mut self, note: Note) {
+        self.actions.push(Action::Note(note));
+    }
+
+    fn order(&self, target: &Target, task: TaskId, run: RunNumber) -> Order {
+        Order {
+            target: target.info.id.clone(),
+            life: target.info.life,
+            address: target.info.address,
+            fence: self.fence,
+            task,
+            run,
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/dispatch/own.rs
@@ -0,0 +1,183 @@
+//! Which targets there are, how they are taken over, held and lost.
+
+use super::{Action, Dispatch, HOLD_WAIT, Note, runs::lease};
+use crate::state::{
+    target::{Conduct, Fence, HowEnded, Life, RunState, Target, TargetId, TargetInfo, TargetTime},
+    time::Moment,
+};
+use indexmap::IndexMap;
+use std::{net::SocketAddr, time::Duration};
+
+/// A target that the list lacks is kept this long while it still answers: entries that lapsed
+/// while the list was away come back within two seconds of its return.
+const MISSING_GRACE: Duration = Duration::from_millis(2_500);
+/// A target is set aside for this long at first, then twice as long each time.
+const FIRST_PAUSE: Duration = Duration::from_millis(700);
+/// Longest time that a target is set aside.
+const LONGEST_PAUSE: Duration = Duration::from_secs(6);
+/// Faults without a success between them after which a target is set aside.
+const FAULTS_ASIDE: u32 = 2;
+/// At most this share of the targets is set aside, in percent: beyond that, it is the work.
+const MAX_ASIDE_PERCENT: usize = 40;
+
+/// A request that extends leases and asks for what ended.
+#[derive(Clone, Debug)]
+pub struct Hold {
+    /// The target.
+    pub target: TargetId,
+    /// Its incarnation.
+    pub life: Life,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The dispatcher's fencing token.
+    pub fence: Fence,
+    /// The last end that was noted.
+    pub last_end: u64,
+    /// The end of the leases, where they are extended.
+    pub until: Option<TargetTime>,
+    /// How long the target may wait for an end.
+    pub wait: Duration,
+}
+
+impl Dispatch {
+    /// Takes a higher fencing token, since targets have seen a higher one than ours.
+    pub fn raise(&mut self, fence: Fence) {
+        self.fence = self.fence.max(fence);
+    }
+
+    /// Replaces the list of targets.
+    pub fn list(&mut self, list: &[TargetInfo], now: Moment) {
+        self.check_gap(now);
+        let known: IndexMap<&TargetId, &TargetInfo> = list.iter().map(|i| (&i.id, i)).collect();
+        for target in self.targets.values_mut() {
+            if !known.contains_key(&target.info.id) && target.missing_since.is_none() {
+                target.missing_since = Some(now);
+            }
+        }
+        for info in list {
+            self.upsert(info, now);
+        }
+        self.fill(now);
+    }
+
+    fn upsert(&mut self, info: &TargetInfo, now: Moment) {
+        let Some(target) = self.targets.get_mut(&info.id) else {
+            let target = Target::new(info.clone(), now);
+            self.targets.insert(info.id.clone(), target);
+            self.actions.push(Action::Watch(info.id.clone()));
+            return;
+        };
+        target.missing_since = None;
+        if info.life > target.info.life {
+            self.reborn(&info.id, info.clone(), now);
+        } else if info.life == target.info.life {
+            let draining = target.info.draining || info.draining;
+            target.info = TargetInfo { draining, ..info.clone() };
+        }
+    }
+
+    /// A new incarnation: nothing of the old one runs any more.
+    pub(super) fn reborn(&mut self, id: &TargetId, info: TargetInfo, now: Moment) {
+        self.close_all(id, now);
+        let Some(target) = self.targets.get_mut(id) else { return };
+        *target = Target::new(info, now);
+        self.note(Note::TargetIs { target: id.clone(), state: "a new incarnation" });
+    }
+
+    /// Closes all runs of a target as lost.
+    pub(super) fn close_all(&mut self, id: &TargetId, now: Moment) {
+        let Some(target) = self.targets.get(id) else { return };
+        let runs: Vec<_> = target.runs.iter().map(|(task, run)| (*task, run.number)).collect();
+        for (task, number) in runs {
+            self.close_run(task, number, id, HowEnded::Lost, now);
+        }
+    }
+
+    /// The next request to a target, none if it is not watched any more.
+    pub fn next_hold(&mut self, id: &TargetId, now: Moment) -> Option<Hold> {
+        self.check_gap(now);
+        let fence = self.fence;
+        let target = self.targets.get_mut(id)?;
+        let until = if target.taken { lease(target, now) } else { None };
+        let stopping = target.runs.values().any(|r| matches!(r.state, RunState::Stopping { .. }));
+        let wait = match (target.taken, stopping) {
+            (false, _) => Duration::ZERO,
+            (true, true) => HOLD_WAIT / 6,
+            (true, false) => HOLD_WAIT,
+        };
+        Some(Hold {
+            target: id.clone(),
+            life: target.info.life,
+            address: target.info.address,
+            fence,
+            last_end: target.last_end,
+            until,
+            wait,
+        })
+    }
+
+    /// Whether a target may be given work.
+    pub(super) fn is_usable(&self, target: &Target, now: Moment) -> bool {
+        target.taken
+            && !target.info.draining
+            && target.silent_since.is_none()
+            && target.clock.is_some()
+            && target.conduct.aside_until <= now
+            && target.full_until <= now
+    }
+
+    /// Closes runs whose lease has run out, and forgets targets that are gone.
+    pub(super) fn check_targets(&mut self, now: Moment) {
+        let lapsed = |t: &&Target| t.silent_since.is_some() && t.lease_end < now;
+        let expiring = |t: &&Target| {
+            let unconfirmed = t
+                .runs
+                .values()
+                .any(|r| matches!(r.state, RunState::Stopping { acknowledged: None, .. }));
+            unconfirmed && t.lease_end < now
+        };
+        let ended = self.targets.values().filter(|t| lapsed(t) || expiring(t));
+        let ended: Vec<TargetId> =
+            ended.filter(|t| !t.runs.is_empty()).map(|t| t.info.id.clone()).collect();
+        for id in ended {
+            self.note(Note::TargetIs { target: id.clone(), state: "without leases" });
+            self.close_all(&id, now);
+        }
+        let gone = |t: &&Target| {
+            t.missing_since.is_some_and(|since| now - since > MISSING_GRACE) && t.runs.is_empty()
+        };
+        let gone: Vec<TargetId> =
+            self.targets.values().filter(gone).map(|t| t.info.id.clone()).collect();
+        for id in gone {
+            self.targets.swap_remove(&id);
+            self.note(Note::TargetIs { target: id, state: "gone" });
+        }
+    }
+
+    /// Counts a fault of a target; several in a row set it aside.
+    pub(super) fn blame(&mut self, id: &TargetId, now: Moment) {
+        let aside = self.targets.values().filter(|t| t.conduct.aside_until > now).count();
+        let allowed = aside * 100 < self.targets.len() * MAX_ASIDE_PERCENT;
+        let Some(target) = self.targets.get_mut(id) else { return };
+        let conduct = &mut target.conduct;
+        conduct.faults += 1;
+        if conduct.faults < FAULTS_ASIDE || conduct.aside_until > now || !allowed {
+            return;
+        }
+        conduct.pause = (conduct.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
+        conduct.aside_until = now + conduct.pause;
+        // One more fault after the pause sets it aside again.
+        conduct.faults = FAULTS_ASIDE - 1;
+        let pause = conduct.pause;
+        self.counts.set_aside += 1;
+        self.note(Note::SetAside { target: id.clone(), pause });
+    }
+
+    /// Counts a success of a target.
+    pub(super) fn praise(&mut self, id: &TargetId) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.conduct =
+                Conduct { aside_until: target.conduct.aside_until, ..Conduct::default() };
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/dispatch/place.rs
@@ -0,0 +1,157 @@
+//! Which task goes to which target.
+
+use super::{Action, Dispatch, JobKey, runs::lease};
+use crate::state::{
+    plan::QueueName,
+    target::{Run, RunState, Target, TargetId},
+    time::Moment,
+    work::{Step, TaskId},
+};
+use std::{cmp::Ordering, time::Duration};
+
+/// Jobs that found no room in one pass before the pass ends; those behind them rarely find any.
+const MISSES: usize = 3;
+/// How much longer a task is taken to run away from its data or its fellow tasks.
+const FAR_FACTOR: f64 = 1.5;
+
+/// A target that could run a task.
+#[derive(Clone, Debug)]
+struct Candidate {
+    id: TargetId,
+    time: Duration,
+    misses_objective: bool,
+    left: u64,
+}
+
+impl Candidate {
+    fn compare(&self, other: &Self) -> Ordering {
+        let keys = |c: &Self| (c.misses_objective, c.time.as_millis() as u64 / 10, c.left);
+        keys(self).cmp(&keys(other))
+    }
+}
+
+impl Dispatch {
+    /// Starts tasks that wait, most urgent first, as far as there is room.
+    pub(super) fn fill(&mut self, now: Moment) {
+        if self.waiting.is_empty() || !self.open {
+            return;
+        }
+        let keys: Vec<JobKey> = self.waiting.iter().map(|rank| rank.key).collect();
+        let mut misses = 0;
+        for key in keys {
+            if !self.start_tasks(key, now) {
+                misses += 1;
+            }
+            if misses >= MISSES {
+                return;
+            }
+        }
+    }
+
+    /// Starts a job's tasks; false if one found no room.
+    fn start_tasks(&mut self, key: JobKey, now: Moment) -> bool {
+        loop {
+            let Some(job) = self.jobs.get(&key) else { return true };
+            let Some(&task) = job.waiting.front() else { break };
+            let Some(step) = job.step(task).cloned() else { break };
+            let Some(best) = self.best_target(key, task, &step, now) else {
+                self.enqueue(key);
+                return false;
+            };
+            if let Some(job) = self.jobs.get_mut(&key) {
+                job.waiting.pop_front();
+            }
+            self.start_on(key, task, &step, &best, now);
+        }
+        self.enqueue(key);
+        true
+    }
+
+    fn best_target(
+        &self,
+        key: JobKey,
+        task: TaskId,
+        step: &Step,
+        now: Moment,
+    ) -> Option<Candidate> {
+        let job = self.jobs.get(&key)?;
+        let queue = self.plan.queue(&job.work.queue)?;
+        let failed_on = job.tasks.get(&task).filter(|t| t.failures > 0);
+        let rack = self.rack_of(key, step);
+        let fits = |t: &&Target| {
+            t.info.pool == queue.pool
+                && self.is_usable(t, now)
+                && step.needs.fits(t.room())
+                && !t.runs.contains_key(&task)
+                && step.required.as_ref().is_none_or(|label| t.info.has(label))
+                && step
+                    .most_per_target
+                    .is_none_or(|most| job.on_target(task.step, &t.info.id) < most)
+        };
+        let candidates = self.targets.values().filter(fits).filter_map(|t| {
+            let mut time = self.task_time(&job.work.queue, step, t);
+            if rack.as_ref().is_some_and(|rack| !t.info.has(rack)) {
+                time = time.mul_f64(FAR_FACTOR);
+            }
+            if now + time > job.deadline {
+                return None;
+            }
+            let misses_objective = now + time > job.objective;
+            let left = t.room().minus(step.needs).cpu.0;
+            Some(Candidate { id: t.info.id.clone(), time, misses_objective, left })
+        });
+        let _ = failed_on;
+        candidates.min_by(Candidate::compare)
+    }
+
+    /// The rack that a step's tasks should run on.
+    fn rack_of(&self, key: JobKey, step: &Step) -> Option<crate::state::plan::Label> {
+        if step.near.is_some() || !step.same_rack {
+            return step.near.clone();
+        }
+        let job = self.jobs.get(&key)?;
+        let on = job.tasks.values().find_map(|t| t.on.as_ref())?;
+        self.targets.get(on)?.info.labels.get(1).cloned()
+    }
+
+    /// Expected run time of a task on a target.
+    pub(super) fn task_time(&self, queue: &QueueName, step: &Step, target: &Target) -> Duration {
+        let base = self.base_time(queue, step);
+        let kind = self.speeds.slowness(&target.info.kind);
+        base.mul_f64(kind * target.slowness)
+    }
+
+    /// Expected run time of a task on a target of usual speed.
+    pub(super) fn base_time(&self, queue: &QueueName, step: &Step) -> Duration {
+        let declared = step.declared.map(|d| d.as_millis() as u64);
+        Duration::from_secs_f64(self.speeds.seconds(queue, declared))
+    }
+
+    fn start_on(&mut self, key: JobKey, task: TaskId, step: &Step, best: &Candidate, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Some(target) = self.targets.get_mut(&best.id) else { return };
+        let Some(until) = lease(target, now) else {
+            job.waiting.push_front(task);
+            return;
+        };
+        let number = job.next_run(task);
+        if let Some(known) = job.tasks.get_mut(&task) {
+            known.on = Some(best.id.clone());
+        }
+        job.sent = true;
+        let run = Run {
+            number,
+            job: Some(key.0),
+            needs: step.needs,
+            state: RunState::Starting,
+            sent: now,
+            expected: now + best.time,
+        };
+        target.add(task, run);
+        let spec = job.work.spec.clone();
+        let target = &self.targets[&best.id];
+        let order = self.order(target, task, number);
+        self.counts.starts += 1;
+        self.actions.push(Action::Start { order, spec, until });
+    }
+}
--- /dev/null
+++ b/src/coordination/dispatch/replies.rs
@@ -0,0 +1,256 @@
+//! What targets answer to starts, stops and holds.
+
+use super::{Action, Dispatch, Note};
+use crate::state::{
+    target::{HeardClock, HowEnded, Report, RunState, TargetId, TargetTime},
+    time::Moment,
+    work::{RunNumber, TaskId},
+};
+use std::time::Duration;
+
+/// A target that refused a task for want of room is given none for this long.
+const FULL_PAUSE: Duration = Duration::from_millis(25);
+/// Longest time from the confirmation of a stop to the end of its run, as the platform states.
+const STOP_TIME: Duration = Duration::from_millis(50);
+
+/// Why a target did not start a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartRefusal {
+    /// It has seen a higher fencing token.
+    Fenced,
+    /// It has stopped or ended this run or a later one.
+    OldRun,
+    /// The lease would have ended already.
+    Late,
+    /// The task doesn't fit.
+    Room,
+    /// It is not healthy.
+    Unhealthy,
+    /// It is another incarnation.
+    OtherLife,
+    /// It can't read the request.
+    Invalid,
+}
+
+/// The answer to a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartReply {
+    /// It runs.
+    Started(TargetTime),
+    /// It does not run and will not.
+    Refused(StartRefusal, Option<TargetTime>),
+    /// Nothing was sent.
+    NotSent,
+    /// Not known.
+    Unknown,
+}
+
+/// The answer to a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopReply {
+    /// The run ends within the time the platform states, and can't begin any more.
+    Stopped,
+    /// Another dispatcher owns the target.
+    Fenced,
+    /// Another incarnation answered, so the run is gone.
+    OtherLife,
+    /// Not known.
+    Unknown,
+}
+
+/// Why a hold brought no report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldError {
+    /// Another dispatcher owns the target.
+    Fenced,
+    /// Another incarnation answered.
+    OtherLife,
+    /// No answer.
+    Unreachable,
+}
+
+impl Dispatch {
+    /// Takes in the answer to a start.
+    pub fn started(
+        &mut self,
+        id: &TargetId,
+        task: TaskId,
+        number: RunNumber,
+        reply: StartReply,
+        now: Moment,
+    ) {
+        self.check_gap(now);
+        let Some(target) = self.targets.get_mut(id) else { return };
+        if let StartReply::Started(clock) | StartReply::Refused(_, Some(clock)) = reply {
+            target.clock = later_clock(target.clock, clock, now);
+        }
+        let Some(run) = target.runs.get_mut(&task).filter(|r| r.number == number) else { return };
+        match reply {
+            StartReply::Started(_) => {
+                if run.state == RunState::Starting {
+                    run.state = RunState::Running { since: now };
+                }
+            }
+            StartReply::Unknown => self.stop_run(task, id, now),
+            StartReply::NotSent => {
+                self.silent(id, now);
+                self.close_run(task, number, id, HowEnded::Stopped, now);
+            }
+            StartReply::Refused(refusal, _) => self.not_started(id, task, number, refusal, now),
+        }
+        self.fill(now);
+    }
+
+    fn not_started(
+        &mut self,
+        id: &TargetId,
+        task: TaskId,
+        number: RunNumber,
+        refusal: StartRefusal,
+        now: Moment,
+    ) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        match refusal {
+            StartRefusal::Room => {
+                target.full_until = now + FULL_PAUSE;
+                self.counts.room_refusals += 1;
+            }
+            StartRefusal::Unhealthy | StartRefusal::Invalid => self.blame(id, now),
+            StartRefusal::Fenced => self.actions.push(Action::Fenced(id.clone())),
+            StartRefusal::OtherLife => self.other_life(id, now),
+            StartRefusal::Late => target.clock = None,
+            StartRefusal::OldRun => {}
+        }
+        self.close_run(task, number, id, HowEnded::Stopped, now);
+    }
+
+    /// Takes in the answer to a stop.
+    pub fn stopped(
+        &mut self,
+        id: &TargetId,
+        task: TaskId,
+        number: RunNumber,
+        reply: StopReply,
+        now: Moment,
+    ) {
+        self.check_gap(now);
+        let Some(target) = self.targets.get_mut(id) else { return };
+        let Some(run) = target.runs.get_mut(&task).filter(|r| r.number == number) else { return };
+        match reply {
+            StopReply::Stopped => {
+                if let RunState::Stopping { acknowledged, .. } = &mut run.state {
+                    *acknowledged = Some(now + STOP_TIME);
+                }
+            }
+            StopReply::Fenced => self.actions.push(Action::Fenced(id.clone())),
+            StopReply::OtherLife => self.other_life(id, now),
+            StopReply::Unknown => {}
+        }
+        self.fill(now);
+    }
+
+    /// Takes in the answer to a hold that was sent at `sent`.
+    pub fn held(
+        &mut self,
+        id: &TargetId,
+        sent: Moment,
+        reply: Result<Report, HoldError>,
+        now: Moment,
+    ) {
+        self.check_gap(now);
+        match reply {
+            Ok(report) => self.reported(id, sent, report, now),
+            Err(HoldError::Fenced) => self.actions.push(Action::Fenced(id.clone())),
+            Err(HoldError::OtherLife) => self.other_life(id, now),
+            Err(HoldError::Unreachable) => self.silent(id, now),
+        }
+        self.fill(now);
+    }
+
+    fn reported(&mut self, id: &TargetId, sent: Moment, report: Report, now: Moment) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        if report.life.is_some_and(|life| life != target.info.life) {
+            self.other_life(id, now);
+            return;
+        }
+        target.clock = later_clock(target.clock, report.clock, now);
+        target.heard = now;
+        if target.silent_since.take().is_some() {
+            self.note(Note::TargetIs { target: id.clone(), state: "answering again" });
+        }
+        self.note_ends(id, &report, now);
+        self.compare_running(id, sent, &report, now);
+    }
+
+    fn note_ends(&mut self, id: &TargetId, report: &Report, now: Moment) {
+        for end in &report.ended {
+            let Some(target) = self.targets.get_mut(id) else { return };
+            if end.number <= target.last_end {
+                continue;
+            }
+            target.last_end = end.number;
+            self.close_run(end.task, end.run, id, end.how, now);
+        }
+    }
+
+    /// Stops runs that are not known, and closes known ones that are not there.
+    fn compare_running(&mut self, id: &TargetId, sent: Moment, report: &Report, now: Moment) {
+        let Some(target) = self.targets.get(id) else { return };
+        let mut foreign = Vec::new();
+        for running in &report.running {
+            let known = target.runs.get(&running.task);
+            if known.is_none_or(|run| run.number != running.run) {
+                foreign.push(Action::Stop(self.order(target, running.task, running.run)));
+            }
+        }
+        let listed = |task: &TaskId, number: RunNumber| {
+            report.running.iter().any(|r| r.task == *task && r.run == number)
+        };
+        let vanished: Vec<_> = target
+            .runs
+            .iter()
+            .filter(|(task, run)| !listed(task, run.number))
+            .filter_map(|(task, run)| match run.state {
+                RunState::Running { since } if since < sent => {
+                    Some((*task, run.number, HowEnded::Lost))
+                }
+                RunState::Stopping { acknowledged: Some(at), .. } if at < sent => {
+                    Some((*task, run.number, HowEnded::Stopped))
+                }
+                _ => None,
+            })
+            .collect();
+        let clear = foreign.is_empty();
+        self.actions.extend(foreign);
+        for (task, number, how) in vanished {
+            self.close_run(task, number, id, how, now);
+        }
+        let Some(target) = self.targets.get_mut(id) else { return };
+        if clear && !target.taken && target.runs.is_empty() {
+            target.taken = true;
+            self.note(Note::TargetIs { target: id.clone(), state: "taken" });
+        }
+    }
+
+    /// The target did not answer; it gets no work until it does.
+    fn silent(&mut self, id: &TargetId, now: Moment) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        if target.silent_since.is_none() {
+            target.silent_since = Some(now);
+            self.note(Note::TargetIs { target: id.clone(), state: "not answering" });
+        }
+    }
+
+    /// Another incarnation answers at the address: what ran is gone, and the list will name it.
+    fn other_life(&mut self, id: &TargetId, now: Moment) {
+        self.silent(id, now);
+        self.close_all(id, now);
+    }
+}
+
+fn later_clock(old: Option<HeardClock>, said: TargetTime, now: Moment) -> Option<HeardClock> {
+    match old {
+        Some(old) if old.at(now) > said => Some(old),
+        _ => Some(HeardClock { said, at: now }),
+    }
+}
--- /dev/null
+++ b/src/coordination/dispatch/runs.rs
@@ -0,0 +1,224 @@
+//! The runs that may exist on targets: how they are stopped, closed and restarted.
+
+use super::{
+    Action, CLOCK_DRIFT_PERCENT, Dispatch, JobKey, LEASE, LEASE_MARGIN, Note, STOP_PATIENCE,
+};
+use crate::state::{
+    target::{HowEnded, Run, RunState, Target, TargetId, TargetTime},
+    time::Moment,
+    work::{Outcome, RunNumber, TaskId},
+};
+use std::time::Duration;
+
+/// A stop not confirmed in this time is sent again.
+const STOP_RETRY: Duration = Duration::from_millis(120);
+/// A run is a straggler after this many times its expected run time, and `STRAGGLER_SLACK`.
+const STRAGGLER_FACTOR: f64 = 2.5;
+/// See [`STRAGGLER_FACTOR`].
+const STRAGGLER_SLACK: Duration = Duration::from_millis(100);
+
+/// Extends the lease of what runs on a target; none while a stop there is unconfirmed.
+pub(super) fn lease(target: &mut Target, now: Moment) -> Option<TargetTime> {
+    let clock = target.clock?;
+    let overdue = |run: &Run| {
+        matches!(run.state, RunState::Stopping { since, acknowledged: None, .. }
+            if now - since > STOP_PATIENCE)
+    };
+    if target.runs.values().any(overdue) {
+        return None;
+    }
+    let until = TargetTime(clock.at(now).0 + LEASE.as_millis() as u64);
+    let longest = LEASE + LEASE * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN;
+    target.lease_end = target.lease_end.max(now + longest);
+    Some(until)
+}
+
+impl Dispatch {
+    /// Stops a run that no job waits for any more.
+    pub(super) fn disown_run(&mut self, task: TaskId, target: &TargetId) {
+        let now = self.last_call;
+        let Some(run) = self.targets.get_mut(target).and_then(|t| t.runs.get_mut(&task)) else {
+            return;
+        };
+        run.job = None;
+        *self.closing.entry(task.job).or_default() += 1;
+        self.stop_run(task, target, now);
+    }
+
+    /// Sends a stop for a run, again if one was sent before.
+    pub(super) fn stop_run(&mut self, task: TaskId, id: &TargetId, now: Moment) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        let Some(run) = target.runs.get_mut(&task) else { return };
+        let (since, tries) = match run.state {
+            RunState::Stopping { acknowledged: Some(_), .. } => return,
+            RunState::Stopping { since, tries, .. } => (since, tries + 1),
+            _ => (now, 1),
+        };
+        run.state = RunState::Stopping { since, acknowledged: None, tries };
+        let number = run.number;
+        let order = self.order(&self.targets[id], task, number);
+        self.counts.stops += 1;
+        self.actions.push(Action::Stop(order));
+    }
+
+    /// Sends unconfirmed stops again, and restarts stragglers.
+    pub(super) fn check_runs(&mut self, now: Moment) {
+        let mut stops = Vec::new();
+        let mut stragglers = Vec::new();
+        for target in self.targets.values() {
+            for (task, run) in &target.runs {
+                let id = || (*task, target.info.id.clone());
+                match run.state {
+                    RunState::Stopping { since, acknowledged: None, tries } => {
+                        if now - since > STOP_RETRY * tries {
+                            stops.push(id());
+                        }
+                    }
+                    RunState::Running { since } => {
+                        let usual = run.expected - run.sent;
+                        let limit = usual.mul_f64(STRAGGLER_FACTOR) + STRAGGLER_SLACK;
+                        if now - since > limit {
+                            stragglers.push((id(), now - since));
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+        for (task, target) in stops {
+            self.stop_run(task, &target, now);
+        }
+        for ((task, target), after) in stragglers {
+            self.restart_straggler(task, target, after, now);
+        }
+    }
+
+    fn restart_straggler(&mut self, task: TaskId, on: TargetId, after: Duration, now: Moment) {
+        let Some(run) = self.targets.get(&on).and_then(|t| t.runs.get(&task)) else { return };
+        let key = run.job.map(JobKey);
+        let known = key.and_then(|k| self.jobs.get_mut(&k)).and_then(|j| j.tasks.get_mut(&task));
+        match known {
+            Some(known) if !known.restarted => known.restarted = true,
+            _ => return,
+        }
+        self.counts.stragglers += 1;
+        self.note(Note::Straggler { task, target: on.clone(), after });
+        self.blame(&on, now);
+        self.stop_run(task, &on, now);
+    }
+
+    /// Closes a run: it is known not to run any more, and how it ended.
+    pub(super) fn close_run(
+        &mut self,
+        task: TaskId,
+        number: RunNumber,
+        on: &TargetId,
+        how: HowEnded,
+        now: Moment,
+    ) {
+        let Some(run) = self.targets.get_mut(on).and_then(|t| t.remove(task, number)) else {
+            return;
+        };
+        if how == HowEnded::Lost {
+            self.counts.lapses += 1;
+        }
+        if how != HowEnded::Done && run.job.is_some() {
+            let how = match how {
+                HowEnded::Failed => "failed",
+                HowEnded::Stopped => "stopped",
+                _ => "lost",
+            };
+            self.note(Note::RunEnded { task, run: number, target: on.clone(), how });
+        }
+        match run.job {
+            None => self.release(task, now),
+            Some(key) => self.after_run(JobKey(key), task, on, how, &run, now),
+        }
+    }
+
+    fn release(&mut self, task: TaskId, now: Moment) {
+        let Some(open) = self.closing.get_mut(&task.job) else { return };
+        *open -= 1;
+        if *open > 0 {
+            return;
+        }
+        self.closing.swap_remove(&task.job);
+        let parked = std::mem::take(&mut self.parked);
+        let (ready, rest) = parked.into_iter().partition(|(_, work, _)| work.id == task.job);
+        self.parked = rest;
+        for (key, work, arrived) in ready {
+            self.admit(key, work, arrived, now);
+        }
+    }
+
+    fn after_run(
+        &mut self,
+        key: JobKey,
+        task: TaskId,
+        on: &TargetId,
+        how: HowEnded,
+        run: &Run,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Some(known) = job.tasks.get_mut(&task) else { return };
+        known.on = None;
+        if how == HowEnded::Done {
+            known.done = true;
+            job.open_steps();
+            let queue = job.work.queue.clone();
+            let declared = job.step(task).and_then(|s| s.declared);
+            let done = job.is_done();
+            self.enqueue(key);
+            self.learn(&queue, declared, on, run, now);
+            self.praise(on);
+            if done {
+                self.settle(key, Outcome::Completed);
+            }
+            return;
+        }
+        if how == HowEnded::Failed {
+            known.failures += 1;
+            self.counts.failures += 1;
+            let elsewhere = job.tasks.values().any(|t| t.failures > 0 && t.on.as_ref() != Some(on));
+            let exhausted = job.tasks[&task].failures >= job.max_attempts;
+            let first = job.tasks.values().map(|t| t.failures).sum::<u32>() <= 1;
+            if first || !elsewhere {
+                self.blame(on, now);
+            }
+            if exhausted {
+                self.settle(key, Outcome::Failed);
+                return;
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&key) {
+            job.waiting.push_front(task);
+        }
+        self.enqueue(key);
+    }
+
+    fn learn(
+        &mut self,
+        queue: &crate::state::plan::QueueName,
+        declared: Option<Duration>,
+        on: &TargetId,
+        run: &Run,
+        now: Moment,
+    ) {
+        let Some(target) = self.targets.get_mut(on) else { return };
+        let took = (now - run.sent).as_secs_f64();
+        let kind = target.info.kind.clone();
+        let declared = declared.map(|d| d.as_millis() as u64);
+        let usual = self.speeds.seconds(queue, declared) * self.speeds.slowness(&kind);
+        target.slowness = next_slowness(target.slowness, took / usual.max(1e-3));
+        self.speeds.learn(queue, declared, &kind, took / target.slowness.max(0.25));
+    }
+}
+
+/// Weight of a new observation of one target's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.15;
+
+fn next_slowness(old: f64, seen: f64) -> f64 {
+    let next = old + SLOWNESS_WEIGHT * (seen.clamp(0.25, 6.0) - old);
+    next.clamp(0.5, 8.0)
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,8 @@
 pub mod admission;
 pub mod configuration;
 pub mod core;
+pub mod dispatch;
+
 pub mod exchange;
 pub mod handover;
 pub mod lending;
--- /dev/null
+++ b/src/fleet/follow.rs
@@ -0,0 +1,196 @@
+//! Finds the dispatcher of each zone, and takes over where this VM's zone has none.
+
+use super::{Node, Targets};
+use crate::{
+    protocol::fleet::{Beat, Peer},
+    state::id::ZoneName,
+    transport::fleet::Link,
+};
+use futures_util::future::join_all;
+use std::{
+    cmp::Reverse,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+/// Interval of beats on connections that carry jobs.
+pub const BEAT: Duration = Duration::from_millis(120);
+/// Interval of beats by which dispatchers tell the other VMs of their zone.
+pub const SLOW_BEAT: Duration = Duration::from_millis(1_000);
+/// Longest time in which VMs answer that are alive.
+const ROUND: Duration = Duration::from_millis(220);
+/// Pause between two rounds.
+const PAUSE: Duration = Duration::from_millis(60);
+/// A VM that has just started lets others speak first.
+const START_GRACE: Duration = Duration::from_millis(300);
+/// A VM that reaches no other takes over only after this long: more likely it is cut off, and the
+/// others go on.
+const ALONE_GRACE: Duration = Duration::from_millis(2_500);
+/// Rounds after which a VM takes over although a stronger one answers.
+const PATIENT_ROUNDS: u32 = 4;
+
+/// The order in which VMs take over: the strongest first.
+pub(super) fn rank(peer: &Peer) -> (Reverse<u32>, &str) {
+    (Reverse(peer.weight), peer.vm.as_str())
+}
+
+impl<T> Node<T>
+where
+    T: Targets,
+{
+    /// Keeps this VM's zone served: follows its dispatcher, or becomes it.
+    pub async fn keep_zone(self: Rc<Self>) {
+        let mut links: Vec<Rc<Link>> = Vec::new();
+        loop {
+            if self.dispatches() {
+                links = self.announce(links).await;
+                sleep(BEAT).await;
+            } else if let Some(link) = self.own_link() {
+                links.clear();
+                let valid = link.last().is_some_and(|beat| beat.dispatches());
+                if !valid {
+                    *self.own.borrow_mut() = None;
+                    continue;
+                }
+                tokio::select! {
+                    () = link.closed() => {}
+                    () = sleep(BEAT) => {}
+                }
+            } else {
+                self.find_dispatcher().await;
+            }
+        }
+    }
+
+    /// Tells the zone's VMs who dispatches, and learns of rivals.
+    async fn announce(self: &Rc<Self>, mut links: Vec<Rc<Link>>) -> Vec<Rc<Link>> {
+        links.retain(|link| !link.is_closed());
+        let missing = self.zone_peers().into_iter().map(|p| p.address);
+        let missing: Vec<SocketAddr> =
+            missing.filter(|a| links.iter().all(|l| l.address != *a)).collect();
+        links.extend(self.connect_all(&missing, SLOW_BEAT).await);
+        links
+    }
+
+    async fn connect_all(
+        self: &Rc<Self>,
+        addresses: &[SocketAddr],
+        interval: Duration,
+    ) -> Vec<Rc<Link>> {
+        let connects = addresses.iter().map(|address| async move {
+            timeout(ROUND, Link::connect(self, *address, interval)).await.ok()?.ok()
+        });
+        join_all(connects).await.into_iter().flatten().collect()
+    }
+
+    /// Asks the VMs of the zone until one dispatches.
+    async fn find_dispatcher(self: &Rc<Self>) {
+        let lost = Instant::now();
+        let mut rounds = 0;
+        while !self.dispatches() && self.own_link().is_none() {
+            rounds += 1;
+            let peers = self.zone_peers();
+            let addresses: Vec<SocketAddr> = peers.iter().map(|p| p.address).collect();
+            let links = self.connect_all(&addresses, BEAT).await;
+            if let Some(link) = best_dispatcher(&links) {
+                log::info!("peers: following the dispatcher at {}", link.address);
+                *self.own.borrow_mut() = Some(link);
+                return;
+            }
+            if self.may_claim(&links, peers.len(), lost, rounds).await {
+                self.claim();
+                return;
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    async fn may_claim(
+        self: &Rc<Self>,
+        links: &[Rc<Link>],
+        known: usize,
+        lost: Instant,
+        rounds: u32,
+    ) -> bool {
+        if self.plan().is_none() || self.is_leaving() || lost.elapsed() < START_GRACE {
+            return false;
+        }
+        let beats: Vec<Beat> = links.iter().filter_map(|link| link.last()).collect();
+        let stronger = beats.iter().filter(|b| !b.leaving && b.plan_version.0 > 0);
+        let outranked = stronger.into_iter().any(|b| rank(&b.from) < rank(&self.me));
+        if outranked && rounds < PATIENT_ROUNDS {
+            return false;
+        }
+        let alone = beats.is_empty() && known > 0;
+        if alone && lost.elapsed() < ALONE_GRACE && !self.reaches_other_zone().await {
+            return false;
+        }
+        true
+    }
+
+    async fn reaches_other_zone(self: &Rc<Self>) -> bool {
+        let peers = self.peers.borrow().clone();
+        let others = peers.values().filter(|p| p.zone != self.me.zone).map(|p| p.address);
+        let others: Vec<SocketAddr> = others.take(4).collect();
+        others.is_empty() || !self.connect_all(&others, SLOW_BEAT).await.is_empty()
+    }
+
+    /// While this VM dispatches, keeps a connection to the dispatcher of another zone.
+    pub async fn keep_other(self: Rc<Self>, zone: ZoneName) {
+        loop {
+            let open = self.others.borrow().get(&zone).is_some_and(|link| {
+                !link.is_closed() && link.last().is_some_and(|beat| beat.dispatches())
+            });
+            if !self.dispatches() {
+                sleep(BEAT).await;
+            } else if open {
+                sleep(BEAT).await;
+            } else {
+                self.others.borrow_mut().shift_remove(&zone);
+                self.find_other(&zone).await;
+                sleep(ROUND).await;
+            }
+        }
+    }
+
+    async fn find_other(self: &Rc<Self>, zone: &ZoneName) {
+        let hint = self.hints.borrow().get(zone).copied();
+        let peers = self.peers.borrow().clone();
+        let mut addresses: Vec<SocketAddr> = hint.into_iter().collect();
+        let more = peers.values().filter(|p| p.zone == *zone).map(|p| p.address);
+        addresses.extend(more.filter(|a| Some(*a) != hint));
+        for address in addresses {
+            let Some(link) = self.connect_all(&[address], BEAT).await.pop() else { continue };
+            let Some(beat) = link.last() else { continue };
+            if beat.dispatches() {
+                self.others.borrow_mut().insert(zone.clone(), link);
+                return;
+            }
+            if let Some(dispatcher) = beat.dispatcher {
+                self.hints.borrow_mut().insert(zone.clone(), dispatcher);
+                if let Some(link) = self.connect_all(&[dispatcher], BEAT).await.pop() {
+                    self.others.borrow_mut().insert(zone.clone(), link);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Starts what runs for the life of the process.
+    pub fn spawn(self: &Rc<Self>, zones: Vec<ZoneName>) {
+        spawn_local(Rc::clone(self).keep_zone());
+        for zone in zones.into_iter().filter(|z| *z != self.me.zone) {
+            spawn_local(Rc::clone(self).keep_other(zone));
+        }
+    }
+}
+
+fn best_dispatcher(links: &[Rc<Link>]) -> Option<Rc<Link>> {
+    let dispatching = links.iter().filter(|l| l.last().is_some_and(|b| b.dispatches()));
+    dispatching.max_by_key(|l| l.last().map_or(0, |b| b.epoch)).cloned()
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,300 @@
+//! One VM of a site whose targets run tasks on leases: it takes callers' jobs, and may be its
+//! zone's dispatcher.
+//!
+//! All of it runs on one thread, since such VMs have a fraction of a core. An adapter brings the
+//! configuration, the lists of VMs and targets, and the calls to targets.
+
+pub mod clock;
+pub mod entry;
+pub mod follow;
+pub mod notes;
+pub mod own;
+
+use crate::{
+    coordination::dispatch::{
+        Order,
+        own::Hold,
+        replies::{HoldError, StartReply, StopReply},
+    },
+    protocol::fleet::{Beat, Peer, Snapshot, ZoneDispatcher},
+    state::{
+        id::{ConfigVersion, VmName, ZoneName},
+        plan::Plan,
+        target::{Report, TargetInfo, TargetTime},
+        work::{Outcome, Work},
+    },
+    transport::fleet::{Host, Link},
+};
+use clock::Clock;
+use indexmap::IndexMap;
+use own::Dispatching;
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+use tokio::task::spawn_local;
+
+/// The calls to targets.
+pub trait Targets: 'static {
+    /// Starts a run.
+    fn start(
+        &self,
+        order: &Order,
+        spec: &str,
+        until: TargetTime,
+    ) -> impl Future<Output = StartReply>;
+    /// Stops a run.
+    fn stop(&self, order: &Order) -> impl Future<Output = StopReply>;
+    /// Extends leases and asks what ended.
+    fn hold(&self, hold: &Hold) -> impl Future<Output = Result<Report, HoldError>>;
+}
+
+/// One VM.
+pub struct Node<T> {
+    me: Peer,
+    calls: T,
+    clock: Clock,
+    plan: RefCell<Option<Arc<Plan>>>,
+    peers: RefCell<IndexMap<VmName, Peer>>,
+    targets: RefCell<Vec<TargetInfo>>,
+    dispatching: RefCell<Option<Dispatching>>,
+    own: RefCell<Option<Rc<Link>>>,
+    others: RefCell<IndexMap<ZoneName, Rc<Link>>>,
+    hints: RefCell<IndexMap<ZoneName, SocketAddr>>,
+    epoch_seen: Cell<u64>,
+    leaving: Cell<bool>,
+    fetching: Cell<bool>,
+}
+
+impl<T> Node<T>
+where
+    T: Targets,
+{
+    /// A VM that knows nothing yet.
+    pub fn new(me: Peer, calls: T) -> Rc<Self> {
+        Rc::new(Node {
+            me,
+            calls,
+            clock: Clock::new(),
+            plan: RefCell::default(),
+            peers: RefCell::default(),
+            targets: RefCell::default(),
+            dispatching: RefCell::default(),
+            own: RefCell::default(),
+            others: RefCell::default(),
+            hints: RefCell::default(),
+            epoch_seen: Cell::new(0),
+            leaving: Cell::new(false),
+            fetching: Cell::new(false),
+        })
+    }
+
+    /// This VM.
+    pub fn me(&self) -> &Peer {
+        &self.me
+    }
+
+    /// The configuration in force.
+    pub fn plan(&self) -> Option<Arc<Plan>> {
+        self.plan.borrow().clone()
+    }
+
+    /// Puts a configuration in force, unless a higher version is.
+    pub fn configure(&self, plan: Plan, source: &str) {
+        let old = self.plan_version();
+        if plan.version <= old {
+            return;
+        }
+        log::info!("config: version {} in force, from {source}, after {}", plan.version.0, old.0);
+        let plan = Arc::new(plan);
+        *self.plan.borrow_mut() = Some(Arc::clone(&plan));
+        if let Some(dispatching) = &mut *self.dispatching.borrow_mut() {
+            dispatching.core.configure(plan);
+        }
+    }
+
+    fn plan_version(&self) -> ConfigVersion {
+        self.plan.borrow().as_ref().map_or(ConfigVersion(0), |plan| plan.version)
+    }
+
+    /// Takes in VMs that the platform lists.
+    pub fn set_peers(&self, list: Vec<Peer>) {
+        for peer in list {
+            self.meet(peer);
+        }
+    }
+
+    /// Forgets a VM that has left.
+    pub fn forget_peer(&self, vm: &VmName) {
+        self.peers.borrow_mut().shift_remove(vm);
+    }
+
+    fn meet(&self, peer: Peer) {
+        if peer.vm == self.me.vm {
+            return;
+        }
+        let mut peers = self.peers.borrow_mut();
+        match peers.get(&peer.vm) {
+            Some(known) if known.incarnation >= peer.incarnation => {}
+            _ => {
+                log::info!("peers: {} of {} at {}", peer.vm, peer.zone, peer.address);
+                peers.insert(peer.vm.clone(), peer);
+            }
+        }
+    }
+
+    /// Takes in the targets that the platform lists.
+    pub fn set_targets(self: &Rc<Self>, list: Vec<TargetInfo>) {
+        *self.targets.borrow_mut() = list;
+        self.list_targets();
+    }
+
+    fn zone_targets(&self) -> Vec<TargetInfo> {
+        let targets = self.targets.borrow();
+        targets.iter().filter(|t| t.zone == self.me.zone).cloned().collect()
+    }
+
+    /// VMs of this zone but this one, the strongest first.
+    fn zone_peers(&self) -> Vec<Peer> {
+        let peers = self.peers.borrow();
+        let mut found: Vec<Peer> =
+            peers.values().filter(|p| p.zone == self.me.zone).cloned().collect();
+        found.sort_by(|a, b| follow::rank(a).cmp(&follow::rank(b)));
+        found
+    }
+
+    /// Whether new requests should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let serves = self.dispatches() || self.own_link().is_some();
+        self.plan.borrow().is_some() && serves && !self.leaving.get()
+    }
+
+    /// Whether this VM is its zone's dispatcher.
+    pub fn dispatches(&self) -> bool {
+        self.dispatching.borrow().is_some()
+    }
+
+    /// Whether this VM is stopping.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Stops dispatching and being ready; jobs in progress end.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    fn own_link(&self) -> Option<Rc<Link>> {
+        self.own.borrow().clone().filter(|link| !link.is_closed())
+    }
+
+    fn dispatcher_address(&self) -> Option<SocketAddr> {
+        if self.dispatches() {
+            return Some(self.me.address);
+        }
+        self.own_link().map(|link| link.address)
+    }
+
+    fn fetch_plan(self: &Rc<Self>, from: SocketAddr) {
+        if self.fetching.replace(true) {
+            return;
+        }
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            let res = node.fetch_snapshot(from).await;
+            node.fetching.set(false);
+            if let Err(e) = res {
+                log::warn!("config: not fetched from {from}: {e}");
+            }
+        });
+    }
+
+    /// Takes over what a peer knows.
+    ///
+    /// # Errors
+    ///
+    /// An [`crate::transport::rpc::RpcError`].
+    pub async fn fetch_snapshot(
+        self: &Rc<Self>,
+        from: SocketAddr,
+    ) -> Result<(), crate::transport::rpc::RpcError> {
+        let link = Link::connect(self, from, follow::SLOW_BEAT).await?;
+        let snapshot = link.snapshot().await?;
+        self.set_peers(snapshot.peers);
+        if snapshot.version > self.plan_version() {
+            match serde_json::from_slice::<Plan>(&snapshot.plan) {
+                Ok(plan) => self.configure(plan, "a peer"),
+                Err(e) => log::warn!("config: version {} from {from}: {e}", snapshot.version.0),
+            }
+        }
+        Ok(())
+    }
+}
+
+impl<T> Host for Node<T>
+where
+    T: Targets,
+{
+    fn beat(&self) -> Beat {
+        let now = self.clock.now();
+        let (epoch, spare) = match &*self.dispatching.borrow() {
+            Some(d) => (d.epoch, d.core.spare(now)),
+            None => (0, 0),
+        };
+        let hints = self.hints.borrow();
+        let zones = hints
+            .iter()
+            .map(|(zone, address)| ZoneDispatcher { zone: zone.clone(), address: *address });
+        Beat {
+            from: self.me.clone(),
+            plan_version: self.plan_version(),
+            dispatcher: self.dispatcher_address(),
+            epoch,
+            spare,
+            zones: zones.collect(),
+            leaving: self.leaving.get(),
+        }
+    }
+
+    fn heard(self: &Rc<Self>, beat: Beat) {
+        if beat.plan_version > self.plan_version() {
+            self.fetch_plan(beat.from.address);
+        }
+        self.meet(beat.from.clone());
+        self.epoch_seen.set(self.epoch_seen.get().max(beat.epoch));
+        if beat.from.zone == self.me.zone {
+            for zone in &beat.zones {
+                self.hints.borrow_mut().insert(zone.zone.clone(), zone.address);
+            }
+            if beat.dispatches() {
+                self.meet_dispatcher(&beat);
+            }
+        } else if beat.dispatches() {
+            self.hints.borrow_mut().insert(beat.from.zone.clone(), beat.from.address);
+            self.neighbour(&beat);
+        }
+    }
+
+    async fn run(self: &Rc<Self>, work: Work, may_pass: bool) -> Outcome {
+        self.run_here(work, may_pass).await
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        let plan = self.plan.borrow();
+        let mut peers: Vec<Peer> = self.peers.borrow().values().cloned().collect();
+        peers.push(self.me.clone());
+        let encoded = plan.as_ref().map(|plan| serde_json::to_vec(&**plan));
+        let (version, plan) = match encoded {
+            Some(Ok(bytes)) => (self.plan_version(), bytes),
+            Some(Err(e)) => {
+                log::error!("config: version {} not encoded: {e}", self.plan_version().0);
+                (ConfigVersion(0), Vec::new())
+            }
+            None => (ConfigVersion(0), Vec::new()),
+        };
+        Snapshot { version, plan, peers }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod config;
 pub mod coordination;
 pub mod daemon;
+pub mod fleet;
 pub mod protocol;
 pub mod stand;
 pub mod state;
@@ -25,4 +26,4 @@
 pub mod trial;
 pub mod util;
 
-pub(crate) use protocol::cranberrytray_capnp;
+pub(crate) use protocol::{cranberrytray_capnp, fleet_capnp};
--- a/src/state/id.rs
+++ b/src/state/id.rs
@@ -97,7 +97,9 @@
 );
 
 /// One life of an entry VM process, drawn at random when it starts.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[display("{_0:016x}")]
 pub struct Incarnation(pub u64);
 
--- a/src/state/speed.rs
+++ b/src/state/speed.rs
@@ -2,6 +2,7 @@
 
 use super::id::{JobType, WorkerName};
 use indexmap::IndexMap;
+use std::hash::Hash;
 
 /// Weight of a new observation of a worker.
 const WORKER_WEIGHT: f64 = 0.1;
@@ -43,11 +44,17 @@
 }
 
 /// Learned run times, in seconds: of job types on a worker of slowness 1, and each worker's slowness.
-#[derive(Debug, Default)]
-pub struct Speeds {
-    types: IndexMap<JobType, TypeTime>,
+#[derive(Debug)]
+pub struct Speeds<J = JobType, W = WorkerName> {
+    types: IndexMap<J, TypeTime>,
     /// Logarithm of each worker's slowness.
-    workers: IndexMap<WorkerName, f64>,
+    workers: IndexMap<W, f64>,
+}
+
+impl<J, W> Default for Speeds<J, W> {
+    fn default() -> Self {
+        Speeds { types: IndexMap::new(), workers: IndexMap::new() }
+    }
 }
 
 fn logarithm(seconds: f64) -> f64 {
@@ -58,15 +65,19 @@
     logarithm(ms as f64 / 1_000.0)
 }
 
-impl Speeds {
+impl<J, W> Speeds<J, W>
+where
+    J: Clone + Eq + Hash,
+    W: Clone + Eq + Hash,
+{
     /// How much slower than the average a worker is; 1 if unknown.
-    pub fn slowness(&self, worker: &WorkerName) -> f64 {
+    pub fn slowness(&self, worker: &W) -> f64 {
         self.workers.get(worker).map_or(1.0, |logarithm| logarithm.exp())
     }
 
     /// Expected seconds of a task of this type on a worker of slowness 1. Declared times are used
     /// as long as they predict better than the type's typical time.
-    pub fn seconds(&self, job_type: &JobType, declared_ms: Option<u64>) -> f64 {
+    pub fn seconds(&self, job_type: &J, declared_ms: Option<u64>) -> f64 {
         let declared = declared_ms.map(declared_logarithm);
         let predicted = match (self.types.get(job_type), declared) {
             (None, None) => return UNKNOWN_SECONDS,
@@ -80,13 +91,7 @@
     }
 
     /// Learns from a task that took `seconds`.
-    pub fn learn(
-        &mut self,
-        job_type: &JobType,
-        declared_ms: Option<u64>,
-        worker: &WorkerName,
-        seconds: f64,
-    ) {
+    pub fn learn(&mut self, job_type: &J, declared_ms: Option<u64>, worker: &W, seconds: f64) {
         let predicted = logarithm(self.seconds(job_type, declared_ms));
         let slowness = self.workers.get(worker).copied().unwrap_or_default();
         let own = logarithm(seconds) - slowness;
@@ -96,7 +101,7 @@
         self.workers.insert(worker.clone(), slowness + WORKER_WEIGHT * miss);
     }
 
-    fn learn_type(&mut self, job_type: &JobType, declared_ms: Option<u64>, own: f64) {
+    fn learn_type(&mut self, job_type: &J, declared_ms: Option<u64>, own: f64) {
         if !self.types.contains_key(job_type) {
             if self.types.len() >= MAX_TYPES {
                 return;
@@ -118,7 +123,7 @@
     /// Forgets workers that are gone.
     pub fn retain<F>(&mut self, keep: F)
     where
-        F: Fn(&WorkerName) -> bool,
+        F: Fn(&W) -> bool,
     {
         self.workers.retain(|worker, _| keep(worker));
     }
--- /dev/null
+++ b/src/transport/fleet.rs
@@ -0,0 +1,262 @@
+//! Connections among VMs that run jobs on leased targets.
+//!
+//! The connecting side sends beats. Either side gives the connection up when none has come for a
+//! while, and a job handed over on it is then stopped by one side and answered as unknown by the
+//! other.
+
+use super::rpc::{RpcError, connect_within, serve_each};
+use crate::{
+    fleet_capnp::peer,
+    protocol::fleet::{
+        Beat, Snapshot, read_beat, read_outcome, read_peer, read_work, write_beat, write_outcome,
+        write_peer, write_work,
+    },
+    state::{
+        id::ConfigVersion,
+        work::{Outcome, Work},
+    },
+};
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::Duration,
+};
+use tokio::{
+    net::TcpListener,
+    sync::Notify,
+    task::spawn_local,
+    time::{Instant, sleep, timeout},
+};
+
+/// Longest wait for a connection; round trips are a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest wait for the answer to a beat.
+const BEAT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A connection on which no beat came for this long is given up by the side that serves it; longer
+/// than a beat's interval and timeout, so that the other side gives up first.
+const SILENCE: Duration = Duration::from_millis(650);
+/// Longest wait for what a VM knows.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// What a VM does for those that connect to it.
+pub trait Host: 'static {
+    /// What it says of itself.
+    fn beat(&self) -> Beat;
+    /// Takes in what a peer said of itself.
+    fn heard(self: &Rc<Self>, beat: Beat);
+    /// Runs a job.
+    fn run(self: &Rc<Self>, work: Work, may_pass: bool) -> impl Future<Output = Outcome>;
+    /// What it knows.
+    fn snapshot(&self) -> Snapshot;
+}
+
+struct Served<H> {
+    host: Rc<H>,
+    last_beat: Cell<Instant>,
+}
+
+impl<H> Served<H> {
+    async fn silence(&self) {
+        loop {
+            let quiet = self.last_beat.get().elapsed();
+            if quiet >= SILENCE {
+                return;
+            }
+            sleep(SILENCE - quiet).await;
+        }
+    }
+}
+
+impl<H> peer::Server for Served<H>
+where
+    H: Host,
+{
+    async fn beat(
+        self: Rc<Self>,
+        params: peer::BeatParams,
+        mut results: peer::BeatResults,
+    ) -> Result<(), capnp::Error> {
+        self.last_beat.set(Instant::now());
+        let beat = read_beat(params.get()?.get_beat()?)?;
+        self.host.heard(beat);
+        write_beat(&self.host.beat(), results.get().init_beat());
+        Ok(())
+    }
+
+    async fn run(
+        self: Rc<Self>,
+        params: peer::RunParams,
+        mut results: peer::RunResults,
+    ) -> Result<(), capnp::Error> {
+        self.last_beat.set(Instant::now());
+        let may_pass = params.get()?.get_may_pass();
+        let work = read_work(params.get()?.get_work()?)?;
+        let outcome = tokio::select! {
+            outcome = self.host.run(work, may_pass) => outcome,
+            () = self.silence() => Outcome::Unknown,
+        };
+        write_outcome(outcome, results.get().init_outcome());
+        Ok(())
+    }
+
+    async fn snapshot(
+        self: Rc<Self>,
+        _: peer::SnapshotParams,
+        mut results: peer::SnapshotResults,
+    ) -> Result<(), capnp::Error> {
+        let snapshot = self.host.snapshot();
+        let mut results = results.get();
+        results.set_plan_version(snapshot.version.0);
+        results.set_plan(&snapshot.plan);
+        let mut peers = results.init_members(snapshot.peers.len() as u32);
+        for (n, peer) in snapshot.peers.iter().enumerate() {
+            write_peer(peer, peers.reborrow().get(n as u32));
+        }
+        Ok(())
+    }
+}
+
+/// Serves a VM's peers.
+pub async fn serve<H>(listener: TcpListener, host: Rc<H>)
+where
+    H: Host,
+{
+    let make = || -> peer::Client {
+        let host = Rc::clone(&host);
+        capnp_rpc::new_client(Served { host, last_beat: Cell::new(Instant::now()) })
+    };
+    serve_each(listener, make).await;
+}
+
+/// A connection to a peer, kept by beats.
+pub struct Link {
+    /// The peer's address.
+    pub address: SocketAddr,
+    client: peer::Client,
+    last: RefCell<Option<Beat>>,
+    closed: Cell<bool>,
+    closing: Notify,
+}
+
+impl Link {
+    /// Connects, and beats every `interval` from then on.
+    ///
+    /// # Errors
+    ///
+    /// An [`RpcError`].
+    pub async fn connect<H>(
+        host: &Rc<H>,
+        address: SocketAddr,
+        interval: Duration,
+    ) -> Result<Rc<Self>, RpcError>
+    where
+        H: Host,
+    {
+        let client = connect_within(address, CONNECT_TIMEOUT, BEAT_TIMEOUT).await?;
+        let link = Rc::new(Link {
+            address,
+            client,
+            last: RefCell::default(),
+            closed: Cell::new(false),
+            closing: Notify::new(),
+        });
+        link.exchange(host).await?;
+        spawn_local(keep(Rc::downgrade(&link), Rc::downgrade(host), interval));
+        Ok(link)
+    }
+
+    /// What the peer said last.
+    pub fn last(&self) -> Option<Beat> {
+        self.last.borrow().clone()
+    }
+
+    /// Whether it was given up.
+    pub fn is_closed(&self) -> bool {
+        self.closed.get()
+    }
+
+    /// Ends when the connection is given up.
+    pub async fn closed(&self) {
+        while !self.closed.get() {
+            self.closing.notified().await;
+        }
+    }
+
+    fn close(&self) {
+        self.closed.set(true);
+        self.closing.notify_waiters();
+    }
+
+    async fn exchange<H>(&self, host: &Rc<H>) -> Result<(), RpcError>
+    where
+        H: Host,
+    {
+        let mut req = self.client.beat_request();
+        write_beat(&host.beat(), req.get().init_beat());
+        let res = timeout(BEAT_TIMEOUT, req.send().promise);
+        let res = res.await.map_err(|_| RpcError::Timeout)??;
+        let beat = read_beat(res.get()?.get_beat()?)?;
+        host.heard(beat.clone());
+        *self.last.borrow_mut() = Some(beat);
+        Ok(())
+    }
+
+    /// Has the peer run a job. Dropping the future cancels the job there.
+    pub async fn run(&self, work: &Work, may_pass: bool) -> Outcome {
+        let mut req = self.client.run_request();
+        req.get().set_may_pass(may_pass);
+        write_work(work, req.get().init_work());
+        let answer = async {
+            let res = req.send().promise.await?;
+            Ok::<_, RpcError>(read_outcome(res.get()?.get_outcome()?)?)
+        };
+        tokio::select! {
+            answer = answer => answer.unwrap_or_else(|e| {
+                if !e.is_disconnected() {
+                    log::warn!("links: run of {} at {} failed: {e}", work.id, self.address);
+                }
+                self.close();
+                Outcome::Unknown
+            }),
+            () = self.closed() => Outcome::Unknown,
+        }
+    }
+
+    /// What the peer knows.
+    ///
+    /// # Errors
+    ///
+    /// An [`RpcError`].
+    pub async fn snapshot(&self) -> Result<Snapshot, RpcError> {
+        let call = self.client.snapshot_request().send().promise;
+        let res = timeout(SNAPSHOT_TIMEOUT, call).await.map_err(|_| RpcError::Timeout)??;
+        let res = res.get()?;
+        let peers = res.get_members()?.iter().map(read_peer).collect::<Result<_, _>>()?;
+        Ok(Snapshot {
+            version: ConfigVersion(res.get_plan_version()),
+            plan: res.get_plan()?.to_vec(),
+            peers,
+        })
+    }
+}
+
+/// Beats until the connection fails or nobody uses it.
+async fn keep<H>(link: Weak<Link>, host: Weak<H>, interval: Duration)
+where
+    H: Host,
+{
+    loop {
+        sleep(interval).await;
+        let (Some(link), Some(host)) = (link.upgrade(), host.upgrade()) else { return };
+        if link.is_closed() {
+            return;
+        }
+        if let Err(e) = link.exchange(&host).await {
+            log::info!("links: connection to {} given up: {e}", link.address);
+            link.close();
+            return;
+        }
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,6 +2,7 @@
 //! the platform.
 
 pub mod callers;
+pub mod fleet;
 pub mod health;
 pub mod http;
 pub mod operators;
--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -77,10 +77,27 @@
 where
     C: FromClientHook,
 {
-    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    connect_within(address, CONNECT_TIMEOUT, SILENT_LINK).await
+}
+
+/// Connects within `limit`; a connection whose other end acknowledges nothing for `silence` is
+/// closed. To be called within a `LocalSet`.
+///
+/// # Errors
+///
+/// [`RpcError::Connect`] or [`RpcError::Timeout`].
+pub async fn connect_within<C>(
+    address: SocketAddr,
+    limit: Duration,
+    silence: Duration,
+) -> Result<C, RpcError>
+where
+    C: FromClientHook,
+{
+    let connecting = timeout(limit, TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| RpcError::Timeout)??;
     stream.set_nodelay(true)?;
-    SockRef::from(&stream).set_tcp_user_timeout(Some(SILENT_LINK))?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(silence))?;
     let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
     let client = system.bootstrap(Side::Server);
     spawn_local(system);
@@ -91,6 +108,16 @@
 pub async fn serve<C>(listener: TcpListener, client: C)
 where
     C: FromClientHook + Clone,
+{
+    serve_each(listener, || client.clone()).await;
+}
+
+/// Serves a client of its own, made by `make`, to each who connects. To be called within a
+/// `LocalSet`.
+pub async fn serve_each<C, F>(listener: TcpListener, make: F)
+where
+    C: FromClientHook,
+    F: Fn() -> C,
 {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -100,7 +127,7 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
-        let bootstrap = capnp::capability::Client::new(client.clone().into_client_hook());
+        let bootstrap = capnp::capability::Client::new(make().into_client_hook());
         spawn_local(RpcSystem::new(Box::new(network(stream, Side::Server)), Some(bootstrap)));
     }
 }
