--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -193,7 +193,7 @@
         }
     }
 
-    /// Refuses jobs of which nothing has started and that will not be done in time.
+    /// Gives up jobs that will not be done in time: those of which nothing has started are refused.
     pub(super) fn refuse_hopeless(&mut self, now: Moment) {
         if self.waiting.is_empty() {
             return;
@@ -204,12 +204,15 @@
             let mut trial = forecast.clone();
             let end = self.put_job(&mut trial, rank.key, now);
             let Some(job) = self.jobs.get(&rank.key) else { continue };
-            let hopeless = end.is_none_or(|end| end + ANSWER_TIME > job.deadline);
-            if !hopeless || job.sent {
+            if end.is_some_and(|end| end + ANSWER_TIME <= job.deadline) {
                 forecast = trial;
                 continue;
             }
             let expected = end.map_or(Duration::ZERO, |end| end - now);
+            if job.sent {
+                self.settle_unfinished(rank.key, "its deadline can't be met any more");
+                continue;
+            }
             let retry_after = retry_after(expected);
             let refusal = Refusal::TooLate;
             let id = job.work.id;
--- a/src/coordination/dispatch/forecast.rs
+++ b/src/coordination/dispatch/forecast.rs
@@ -2,6 +2,7 @@
 
 use super::{Dispatch, JobKey, Rank};
 use crate::state::{target::Target, time::Moment};
+use indexmap::IndexMap;
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 /// Processor a place takes where nothing runs or waits to tell, in thousandths of a core.
@@ -12,23 +13,44 @@
 /// A target that is being taken over is usable after this long: a look and a stop.
 const TAKE_TIME: Duration = Duration::from_millis(60);
 
-/// Room for one task: free from a moment on, at a speed in thousandths of the usual run time.
-type Place = Reverse<(Moment, u64)>;
+/// The slowness of a group of places, in twentieths of the usual run time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Pace(u64);
 
-/// The places of all usable targets.
-#[derive(Clone, Debug)]
+impl Pace {
+    fn new(slowness: f64) -> Self {
+        Pace((slowness * 20.0).round().max(1.0) as u64)
+    }
+
+    fn time(self, base: Duration) -> Duration {
+        base.mul_f64(self.0 as f64 / 20.0)
+    }
+}
+
+/// The moments from which the places of usable targets are free, by their pace.
+#[derive(Clone, Debug, Default)]
 pub struct Forecast {
-    places: BinaryHeap<Place>,
+    places: IndexMap<Pace, BinaryHeap<Reverse<Moment>>>,
 }
 
 impl Forecast {
-    /// Puts tasks of one job on the places that are free first; the moment the last one ends.
+    fn add(&mut self, pace: Pace, free: Moment) {
+        self.places.entry(pace).or_default().push(Reverse(free));
+    }
+
+    /// Puts each of some tasks on the place where it ends first; the moment the last one ends, none
+    /// if there is no place at all.
     pub fn put(&mut self, tasks: usize, base: Duration, now: Moment) -> Option<Moment> {
         let mut last = now;
         for _ in 0..tasks {
-            let Reverse((free, slowness)) = self.places.pop()?;
-            let end = free.max(now) + base.mul_f64(slowness as f64 / 1_000.0);
-            self.places.push(Reverse((end, slowness)));
+            let ends = self.places.iter().filter_map(|(pace, free)| {
+                let Reverse(free) = *free.peek()?;
+                Some((free.max(now) + pace.time(base), *pace))
+            });
+            let (end, pace) = ends.min_by_key(|(end, _)| *end)?;
+            let places = self.places.get_mut(&pace)?;
+            places.pop();
+            places.push(Reverse(end));
             last = last.max(end);
         }
         Some(last)
@@ -39,24 +61,23 @@
     /// The present places, before anything that waits is put on them.
     pub(super) fn forecast(&self, now: Moment) -> Forecast {
         let usual = self.usual_cpu();
-        let mut places = BinaryHeap::new();
+        let mut forecast = Forecast::default();
         for target in self.targets.values().filter(|t| self.is_usable(t, now)) {
-            let slowness = self.speeds.slowness(&target.info.kind) * target.slowness;
-            let slowness = (slowness * 1_000.0) as u64;
+            let pace = Pace::new(self.speeds.slowness(&target.info.kind) * target.slowness);
             for run in target.runs.values() {
-                places.push(Reverse((run.expected.max(now + OVERDUE), slowness)));
+                forecast.add(pace, run.expected.max(now + OVERDUE));
             }
             for _ in 0..target.room().cpu.0 / usual.max(1) {
-                places.push(Reverse((now, slowness)));
+                forecast.add(pace, now);
             }
         }
         let coming = |t: &&Target| !t.taken && t.silent_since.is_none() && !t.info.draining;
         for target in self.targets.values().filter(coming) {
             for _ in 0..target.info.capacity.cpu.0 / usual.max(1) {
-                places.push(Reverse((now + TAKE_TIME, 1_000)));
+                forecast.add(Pace::new(1.0), now + TAKE_TIME);
             }
         }
-        Forecast { places }
+        forecast
     }
 
     fn usual_cpu(&self) -> u64 {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -42,6 +42,8 @@
 /// A stop unconfirmed for this long ends the extension of the target's leases, so that the run
 /// lapses before its caller resubmits.
 const STOP_PATIENCE: Duration = Duration::from_millis(350);
+/// Weight of one run in what is known of a kind of target; some dozens run in a second.
+const KIND_WEIGHT: f64 = 0.02;
 /// Jobs that wait at most; more than a deadline's worth of work at the largest sites.
 const MAX_JOBS: usize = 4_096;
 
@@ -261,7 +263,7 @@
             closing: IndexMap::new(),
             parked: Vec::new(),
             neighbours: IndexMap::new(),
-            speeds: Speeds::default(),
+            speeds: Speeds::weighing(KIND_WEIGHT),
             counts: Counts::default(),
             next_key: 0,
             last_call: now,
@@ -280,6 +282,18 @@
         self.counts
     }
 
+    /// How slow each kind of target was found to be, 1 being usual.
+    pub fn slowness(&self) -> Vec<(Label, f64)> {
+        let kinds: indexmap::IndexSet<&Label> =
+            self.targets.values().map(|t| &t.info.kind).collect();
+        kinds.into_iter().map(|kind| (kind.clone(), self.speeds.slowness(kind))).collect()
+    }
+
+    /// TRIAL
+    pub fn times(&self) -> Vec<(QueueName, f64, f64)> {
+        self.plan.queues.iter().map(|q| (q.name.clone(), self.speeds.seconds(&q.name, None), self.speeds.seconds(&q.name, Some(100)))).collect()
+    }
+
     /// Jobs that are not answered.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len() + self.parked.len()
--- a/src/coordination/dispatch/place.rs
+++ b/src/coordination/dispatch/place.rs
@@ -145,7 +145,9 @@
             needs: step.needs,
             state: RunState::Starting,
             sent: now,
+            usual: best.time,
             expected: now + best.time,
+            percent: 0,
         };
         target.add(task, run);
         let spec = job.work.spec.clone();
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -13,6 +13,9 @@
 /// Longest time from the confirmation of a stop to the end of its run, as the platform states.
 const STOP_TIME: Duration = Duration::from_millis(50);
 
+/// From this progress on, a run's end is told by it; below, whole percents are too coarse.
+pub(super) const TELLING_PERCENT: u32 = 10;
+
 /// Why a target did not start a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartRefusal {
@@ -195,6 +198,7 @@
 
     /// Stops runs that are not known, and closes known ones that are not there.
     fn compare_running(&mut self, id: &TargetId, sent: Moment, report: &Report, now: Moment) {
+        self.note_progress(id, report, now);
         let Some(target) = self.targets.get(id) else { return };
         let mut foreign = Vec::new();
         for running in &report.running {
@@ -232,6 +236,19 @@
         }
     }
 
+    /// Corrects expected ends by how much of each run is done.
+    fn note_progress(&mut self, id: &TargetId, report: &Report, now: Moment) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        for running in &report.running {
+            let known = target.runs.get_mut(&running.task);
+            let Some(run) = known.filter(|run| run.number == running.run) else { continue };
+            run.percent = running.percent;
+            if run.percent >= TELLING_PERCENT {
+                run.expected = run.sent + (now - run.sent) * 100 / run.percent;
+            }
+        }
+    }
+
     /// The target did not answer; it gets no work until it does.
     fn silent(&mut self, id: &TargetId, now: Moment) {
         let Some(target) = self.targets.get_mut(id) else { return };
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -2,13 +2,14 @@
 
 use super::{
     Action, CLOCK_DRIFT_PERCENT, Dispatch, JobKey, LEASE, LEASE_MARGIN, Note, STOP_PATIENCE,
+    replies::TELLING_PERCENT,
 };
 use crate::state::{
     target::{HowEnded, Run, RunState, Target, TargetId, TargetTime},
     time::Moment,
     work::{Outcome, RunNumber, TaskId},
 };
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 /// A stop not confirmed in this time is sent again.
 const STOP_RETRY: Duration = Duration::from_millis(120);
@@ -75,9 +76,10 @@
                         }
                     }
                     RunState::Running { since } => {
-                        let usual = run.expected - run.sent;
-                        let limit = usual.mul_f64(STRAGGLER_FACTOR) + STRAGGLER_SLACK;
-                        if now - since > limit {
+                        let limit = run.usual.mul_f64(STRAGGLER_FACTOR) + STRAGGLER_SLACK;
+                        let slow = run.percent < TELLING_PERCENT
+                            || run.expected > now + run.usual + STRAGGLER_SLACK;
+                        if now - since > limit && slow {
                             stragglers.push((id(), now - since));
                         }
                     }
@@ -211,12 +213,17 @@
         let declared = declared.map(|d| d.as_millis() as u64);
         let usual = self.speeds.seconds(queue, declared) * self.speeds.slowness(&kind);
         target.slowness = next_slowness(target.slowness, took / usual.max(1e-3));
-        self.speeds.learn(queue, declared, &kind, took / target.slowness.max(0.25));
+        if USUAL_SLOWNESS.contains(&target.slowness) {
+            self.speeds.learn(queue, declared, &kind, took);
+            self.speeds.centre();
+        }
     }
 }
 
+/// A target outside of this range tells nothing of its kind.
+const USUAL_SLOWNESS: RangeInclusive<f64> = 0.6..=1.7;
 /// Weight of a new observation of one target's slowness.
-const SLOWNESS_WEIGHT: f64 = 0.15;
+const SLOWNESS_WEIGHT: f64 = 0.08;
 
 fn next_slowness(old: f64, seen: f64) -> f64 {
     let next = old + SLOWNESS_WEIGHT * (seen.clamp(0.25, 6.0) - old);
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -146,8 +146,12 @@
     pub state: RunState,
     /// When its start was sent.
     pub sent: Moment,
-    /// When it is expected to end.
+    /// Run time expected when it was started.
+    pub usual: Duration,
+    /// When it is expected to end, by its progress if that is known.
     pub expected: Moment,
+    /// How much of it was done when last heard, in percent.
+    pub percent: u32,
 }
 
 /// A target's clock as last heard.
