Runs that end too late by their progress are restarted elsewhere or given up at once

Cause: jobs were held to their deadline although their targets' progress told long before that they would miss it, and were called lost only then; their tasks took places from others. Tasks of one job are alike (they differ by a seventh, jobs of one declared time by a third), but each was predicted anew.

--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -135,6 +135,7 @@
             sent: false,
             passed: false,
             late: false,
+            scale: None,
             work,
         };
         job.open_steps();
--- a/src/coordination/dispatch/forecast.rs
+++ b/src/coordination/dispatch/forecast.rs
@@ -111,7 +111,7 @@
     ) -> Option<Moment> {
         let job = self.jobs.get(&key)?;
         let step = job.step(*job.waiting.front()?)?;
-        let base = self.base_time(&job.work.queue, step);
+        let base = self.base_time(&job.work.queue, step).mul_f64(job.scale());
         let own = forecast.put(job.waiting.len(), base, now)?;
         let running = job.tasks.values().filter_map(|t| t.on.as_ref());
         let runs = running.filter_map(|id| self.targets.get(id)).flat_map(|t| t.runs.values());
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -13,6 +13,12 @@
 use indexmap::IndexMap;
 use std::{collections::VecDeque, time::Duration};
 
+/// Weight of the first task's run time in what is expected of its fellows: their run times differ by
+/// a seventh, those of jobs with the same declared time by a third, so most of a miss is the job's.
+const FIRST_SCALE_WEIGHT: f64 = 0.85;
+/// Weight of each further observation.
+const NEXT_SCALE_WEIGHT: f64 = 0.3;
+
 /// What is known of one task.
 #[derive(Clone, Debug, Default)]
 pub struct Task {
@@ -55,9 +61,24 @@
     pub passed: bool,
     /// The rank under which it waits.
     pub late: bool,
+    /// Logarithm of how much longer its tasks run than expected, as far as they have shown it.
+    pub scale: Option<f64>,
 }
 
 impl Job {
+    /// Learns from a task that runs, or ran, `ratio` times as long as expected.
+    pub fn learn_scale(&mut self, ratio: f64) {
+        let seen = ratio.clamp(0.1, 10.0).ln();
+        let old = self.scale.unwrap_or_default();
+        let weight = if self.scale.is_some() { NEXT_SCALE_WEIGHT } else { FIRST_SCALE_WEIGHT };
+        self.scale = Some(old + weight * (seen - old));
+    }
+
+    /// How much longer its tasks run than others of their kind with the same declared time.
+    pub fn scale(&self) -> f64 {
+        self.scale.unwrap_or_default().exp()
+    }
+
     /// The step of a task.
     pub fn step(&self, task: TaskId) -> Option<&Step> {
         self.work.steps.get(task.step as usize)
--- a/src/coordination/dispatch/place.rs
+++ b/src/coordination/dispatch/place.rs
@@ -14,18 +14,25 @@
 /// How much longer a task is taken to run away from its data or its fellow tasks.
 const FAR_FACTOR: f64 = 1.5;
 
+/// A task is placed where it would meet its job's objective also if it took this much longer than
+/// expected; half of all tasks take longer than expected.
+const SAFETY: f64 = 1.7;
+
 /// A target that could run a task.
 #[derive(Clone, Debug)]
-struct Candidate {
+pub(super) struct Candidate {
     id: TargetId,
-    time: Duration,
-    misses_objective: bool,
+    pub(super) time: Duration,
+    in_time: bool,
     left: u64,
 }
 
 impl Candidate {
+    /// The best first. Where several meet the objective, the slowest: the fast ones are for tasks
+    /// that meet it nowhere else. Of equal ones, the one that is filled best.
     fn compare(&self, other: &Self) -> Ordering {
-        let keys = |c: &Self| (c.misses_objective, c.time.as_millis() as u64 / 10, c.left);
+        let time = |c: &Self| c.time.as_millis() as i64 / 10;
+        let keys = |c: &Self| (!c.in_time, if c.in_time { -time(c) } else { time(c) }, c.left);
         keys(self).cmp(&keys(other))
     }
 }
@@ -67,7 +74,7 @@
         true
     }
 
-    fn best_target(
+    pub(super) fn best_target(
         &self,
         key: JobKey,
         task: TaskId,
@@ -76,7 +83,6 @@
     ) -> Option<Candidate> {
         let job = self.jobs.get(&key)?;
         let queue = self.plan.queue(&job.work.queue)?;
-        let failed_on = job.tasks.get(&task).filter(|t| t.failures > 0);
         let rack = self.rack_of(key, step);
         let fits = |t: &&Target| {
             t.info.pool == queue.pool
@@ -89,18 +95,17 @@
                     .is_none_or(|most| job.on_target(task.step, &t.info.id) < most)
         };
         let candidates = self.targets.values().filter(fits).filter_map(|t| {
-            let mut time = self.task_time(&job.work.queue, step, t);
+            let mut time = self.task_time(&job.work.queue, step, t).mul_f64(job.scale());
             if rack.as_ref().is_some_and(|rack| !t.info.has(rack)) {
                 time = time.mul_f64(FAR_FACTOR);
             }
             if now + time > job.deadline {
                 return None;
             }
-            let misses_objective = now + time > job.objective;
+            let in_time = now + time.mul_f64(SAFETY) <= job.objective;
             let left = t.room().minus(step.needs).cpu.0;
-            Some(Candidate { id: t.info.id.clone(), time, misses_objective, left })
+            Some(Candidate { id: t.info.id.clone(), time, in_time, left })
         });
-        let _ = failed_on;
         candidates.min_by(Candidate::compare)
     }
 
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -1,6 +1,6 @@
 //! What targets answer to starts, stops and holds.
 
-use super::{Action, Dispatch, Note};
+use super::{Action, Dispatch, JobKey, Note};
 use crate::state::{
     target::{HeardClock, HowEnded, Report, RunState, TargetId, TargetTime},
     time::Moment,
@@ -239,12 +239,24 @@
     /// Corrects expected ends by how much of each run is done.
     fn note_progress(&mut self, id: &TargetId, report: &Report, now: Moment) {
         let Some(target) = self.targets.get_mut(id) else { return };
+        let mut seen = Vec::new();
         for running in &report.running {
             let known = target.runs.get_mut(&running.task);
             let Some(run) = known.filter(|run| run.number == running.run) else { continue };
+            let first = run.percent < TELLING_PERCENT;
             run.percent = running.percent;
-            if run.percent >= TELLING_PERCENT {
-                run.expected = run.sent + (now - run.sent) * 100 / run.percent;
+            if run.percent < TELLING_PERCENT {
+                continue;
+            }
+            let total = (now - run.sent) * 100 / run.percent;
+            run.expected = run.sent + total;
+            if first && let Some(key) = run.job {
+                seen.push((JobKey(key), total.as_secs_f64() / run.usual.as_secs_f64().max(1e-3)));
+            }
+        }
+        for (key, ratio) in seen {
+            if let Some(job) = self.jobs.get_mut(&key) {
+                job.learn_scale(ratio);
             }
         }
     }
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -18,6 +18,11 @@
 /// See [`STRAGGLER_FACTOR`].
 const STRAGGLER_SLACK: Duration = Duration::from_millis(100);
 
+/// Error of an end told by progress, as a share of the run time: one percent of a tenth.
+const PROGRESS_ERROR: f64 = 0.1;
+/// Time from the decision to stop a run to the start of its next one.
+const RESTART_TIME: Duration = Duration::from_millis(60);
+
 /// Extends the lease of what runs on a target; none while a stop there is unconfirmed.
 pub(super) fn lease(target: &mut Target, now: Moment) -> Option<TargetTime> {
     let clock = target.clock?;
@@ -93,6 +98,47 @@
         for ((task, target), after) in stragglers {
             self.restart_straggler(task, target, after, now);
         }
+        for (key, task, target) in self.hopeless_runs(now) {
+            self.rescue(key, task, target, now);
+        }
+    }
+
+    /// Runs that by their progress will end after their job's deadline.
+    fn hopeless_runs(&self, now: Moment) -> Vec<(JobKey, TaskId, TargetId)> {
+        let mut found = Vec::new();
+        for target in self.targets.values() {
+            for (task, run) in &target.runs {
+                let Some(key) = run.job.map(JobKey) else { continue };
+                let Some(job) = self.jobs.get(&key) else { continue };
+                let running = matches!(run.state, RunState::Running { .. });
+                let told = run.percent >= TELLING_PERCENT;
+                let late = job.deadline + (run.expected - run.sent).mul_f64(PROGRESS_ERROR);
+                if running && told && run.expected > late && job.deadline > now {
+                    found.push((key, *task, target.info.id.clone()));
+                }
+            }
+        }
+        found
+    }
+
+    /// Restarts a run on a target where it ends in time, or gives its job up.
+    fn rescue(&mut self, key: JobKey, task: TaskId, on: TargetId, now: Moment) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        let Some(step) = job.step(task).cloned() else { return };
+        let fresh = job.tasks.get(&task).is_some_and(|t| !t.restarted);
+        let faster = self.best_target(key, task, &step, now);
+        let in_time = faster.is_some_and(|c| now + RESTART_TIME + c.time <= job.deadline);
+        if !fresh || !in_time {
+            self.settle_unfinished(key, "by its progress, its deadline can't be met");
+            return;
+        }
+        let after = self.targets.get(&on).and_then(|t| t.runs.get(&task)).map(|r| now - r.sent);
+        if let Some(known) = self.jobs.get_mut(&key).and_then(|j| j.tasks.get_mut(&task)) {
+            known.restarted = true;
+        }
+        self.counts.stragglers += 1;
+        self.note(Note::Straggler { task, target: on.clone(), after: after.unwrap_or_default() });
+        self.stop_run(task, &on, now);
     }
 
     fn restart_straggler(&mut self, task: TaskId, on: TargetId, after: Duration, now: Moment) {
@@ -167,6 +213,10 @@
         known.on = None;
         if how == HowEnded::Done {
             known.done = true;
+            let ratio = (now - run.sent).as_secs_f64() / run.usual.as_secs_f64().max(1e-3);
+            if run.percent < TELLING_PERCENT {
+                job.learn_scale(ratio);
+            }
             job.open_steps();
             let queue = job.work.queue.clone();
             let declared = job.step(task).and_then(|s| s.declared);
