--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -84,8 +84,11 @@
 
 interface Peer {
   beat @0 (beat :Beat) -> (beat :Beat);
-  run @1 (work :Work, mayPass :Bool) -> (outcome :Outcome);
-  # Answered when the job has ended; dropping the call cancels the job.
+  run @1 (work :Work, mayPass :Bool, resumed :Bool) -> (outcome :Outcome);
+  # Answered when the job has ended; dropping the call cancels the job. A resumed job may have run
+  # under an earlier dispatcher of the zone.
   snapshot @2 () -> (planVersion :UInt64, plan :Data, members :List(Member));
   # The configuration in force, as JSON, and the VMs that the sender knows.
+  handOver @3 (epoch :UInt64, kept :List(Text)) -> (taken :Bool);
+  # From a dispatcher that leaves to its successor: all targets but those kept are the successor's.
 }
--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -1,6 +1,6 @@
 //! Which jobs are let in, passed to another zone, or refused at once.
 
-use super::{Action, Dispatch, JobKey, MAX_JOBS, Note, Rank, job::Job};
+use super::{Action, Dispatch, JobKey, LONGEST_LEASE, MAX_JOBS, Note, Parked, Rank, job::Job};
 use crate::state::{
     id::ZoneName,
     plan::Queue,
@@ -22,17 +22,20 @@
 const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
 
 impl Dispatch {
-    /// A caller's job; `may_pass` unless another zone passed it here.
-    pub fn submit(&mut self, work: Work, may_pass: bool, now: Moment) -> JobKey {
+    /// A caller's job; `may_pass` unless another zone passed it here, `resumed` if it may have run
+    /// under an earlier dispatcher of this zone.
+    pub fn submit(&mut self, work: Work, may_pass: bool, resumed: bool, now: Moment) -> JobKey {
         self.check_gap(now);
         self.next_key += 1;
         let key = JobKey(self.next_key);
-        if let Some(&first) = self.ids.get(&work.id) {
+        if self.retiring {
+            self.refuse(key, &work, Refusal::Closed, SHORTEST_RETRY, Duration::ZERO);
+        } else if let Some(&first) = self.ids.get(&work.id) {
             if let Some(job) = self.jobs.get_mut(&first) {
                 job.joined.push(key);
             }
-        } else if self.closing.contains_key(&work.id) {
-            self.parked.push((key, work, now));
+        } else if self.closing.contains_key(&work.id) || resumed && !self.is_settled(now) {
+            self.parked.push(Parked { key, work, arrived: now, resumed });
         } else {
             self.admit_or_pass(key, work, now, may_pass, now);
         }
@@ -40,10 +43,30 @@
         key
     }
 
+    /// Whether nothing that an earlier dispatcher started can be running any more.
+    fn is_settled(&self, now: Moment) -> bool {
+        let leases_over = now - self.since > LONGEST_LEASE;
+        let all_taken = || self.targets.values().all(|t| t.taken);
+        leases_over || !self.targets.is_empty() && self.withheld.is_empty() && all_taken()
+    }
+
+    /// Admits parked submissions whose earlier runs are closed.
+    pub(super) fn unpark(&mut self, now: Moment) {
+        let settled = self.is_settled(now);
+        let parked = std::mem::take(&mut self.parked);
+        let (ready, rest) = parked.into_iter().partition::<Vec<_>, _>(|p| {
+            !self.closing.contains_key(&p.work.id) && (settled || !p.resumed)
+        });
+        self.parked = rest;
+        for parked in ready {
+            self.admit_or_pass(parked.key, parked.work, parked.arrived, false, now);
+        }
+    }
+
     /// The caller has left.
     pub fn cancel(&mut self, key: JobKey, now: Moment) {
         self.check_gap(now);
-        self.parked.retain(|(parked, _, _)| *parked != key);
+        self.parked.retain(|parked| parked.key != key);
         if let Some(job) = self.jobs.values_mut().find(|job| job.joined.contains(&key)) {
             job.joined.retain(|joined| *joined != key);
             return;
@@ -74,10 +97,6 @@
         }
     }
 
-    pub(super) fn admit(&mut self, key: JobKey, work: Work, arrived: Moment, now: Moment) {
-        self.admit_or_pass(key, work, arrived, false, now);
-    }
-
     fn admit_or_pass(
         &mut self,
         key: JobKey,
@@ -184,12 +203,12 @@
             self.settle_unfinished(key, "its deadline has passed");
         }
         let parked = std::mem::take(&mut self.parked);
-        for (key, work, arrived) in parked {
-            if arrived + work.patience <= now {
+        for parked in parked {
+            if parked.arrived + parked.work.patience <= now {
                 let outcome = Outcome::Unknown;
-                self.actions.push(Action::Answer { key, id: work.id, outcome });
+                self.actions.push(Action::Answer { key: parked.key, id: parked.work.id, outcome });
             } else {
-                self.parked.push((key, work, arrived));
+                self.parked.push(parked);
             }
         }
     }
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -23,7 +23,7 @@
     work::{Outcome, Refusal, RunNumber, TaskId, Work, WorkId},
 };
 use derive_more::Display;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use job::Job;
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -32,10 +32,10 @@
 pub const LEASE: Duration = Duration::from_millis(900);
 /// Longest wait of a request that extends leases; leaves half a lease for a lost answer.
 pub const HOLD_WAIT: Duration = Duration::from_millis(300);
-/// Share by which a target's clock may be slow, in percent.
-const CLOCK_DRIFT_PERCENT: u32 = 2;
-/// Added to the end of a lease before its runs count as gone: the granularity of timers.
-const LEASE_MARGIN: Duration = Duration::from_millis(40);
+/// After this time a lease that was given before is over: the lease, a slow clock, timers.
+///
+/// A target's clock may be 2% slow.
+const LONGEST_LEASE: Duration = Duration::from_millis(900 + 18 + 40);
 /// A gap between two calls of the core after which the process is taken to have been suspended:
 /// by then, leases may have run out.
 const WAKE_GAP: Duration = Duration::from_millis(650);
@@ -190,6 +190,16 @@
     pub heard: Moment,
 }
 
+/// A submission that waits until earlier runs of its tasks are closed.
+#[derive(Clone, Debug)]
+struct Parked {
+    key: JobKey,
+    work: Work,
+    arrived: Moment,
+    /// Whether runs may be left from an earlier dispatcher.
+    resumed: bool,
+}
+
 /// The key by which jobs wait, most urgent first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -240,13 +250,19 @@
     /// Runs not closed of jobs that are given up.
     closing: IndexMap<WorkId, u32>,
     /// Submissions that wait for such runs.
-    parked: Vec<(JobKey, Work, Moment)>,
+    parked: Vec<Parked>,
     neighbours: IndexMap<ZoneName, Neighbour>,
     speeds: Speeds<QueueName, Label>,
     counts: Counts,
     next_key: u64,
     last_call: Moment,
     open: bool,
+    /// No new jobs: a successor takes them.
+    retiring: bool,
+    /// Targets that a retiring predecessor keeps.
+    withheld: IndexSet<TargetId>,
+    /// Since when this dispatcher owns the zone.
+    since: Moment,
     actions: Vec<Action>,
 }
 
@@ -268,6 +284,9 @@
             next_key: 0,
             last_call: now,
             open: true,
+            retiring: false,
+            withheld: IndexSet::new(),
+            since: now,
             actions: Vec::new(),
         }
     }
@@ -284,14 +303,23 @@
 
     /// How slow each kind of target was found to be, 1 being usual.
     pub fn slowness(&self) -> Vec<(Label, f64)> {
-        let kinds: indexmap::IndexSet<&Label> =
-            self.targets.values().map(|t| &t.info.kind).collect();
+        let kinds: IndexSet<&Label> = self.targets.values().map(|t| &t.info.kind).collect();
         kinds.into_iter().map(|kind| (kind.clone(), self.speeds.slowness(kind))).collect()
     }
 
     /// TRIAL
     pub fn times(&self) -> Vec<(QueueName, f64, f64)> {
-        self.plan.queues.iter().map(|q| (q.name.clone(), self.speeds.seconds(&q.name, None), self.speeds.seconds(&q.name, Some(100)))).collect()
+        self.plan
+            .queues
+            .iter()
+            .map(|q| {
+                (
+                    q.name.clone(),
+                    self.speeds.seconds(&q.name, None),
+                    self.speeds.seconds(&q.name, Some(100)),
+                )
+            })
+            .collect()
     }
 
     /// Jobs that are not answered.
@@ -337,18 +365,40 @@
         self.refuse_hopeless(now);
         self.check_targets(now);
         self.check_runs(now);
+        self.unpark(now);
         self.fill(now);
     }
 
+    /// Takes no new jobs any more; those at hand are run to their end.
+    pub fn retire(&mut self) {
+        self.retiring = true;
+    }
+
+    /// Targets that a retiring dispatcher still needs: all while tasks wait, else those with runs.
+    pub fn needed(&self) -> Vec<TargetId> {
+        let wanted = |t: &&Target| !self.waiting.is_empty() || !t.runs.is_empty();
+        self.targets.values().filter(wanted).map(|t| t.info.id.clone()).collect()
+    }
+
+    /// Forgets targets that were handed over.
+    pub fn hand_over(&mut self, kept: &[TargetId]) {
+        self.targets.retain(|id, _| kept.contains(id));
+    }
+
+    /// Leaves some targets to a retiring predecessor, as long as it keeps them.
+    pub fn withhold(&mut self, kept: Vec<TargetId>) {
+        self.withheld = kept.into_iter().collect();
+    }
+
     /// Gives everything up, since another dispatcher owns the targets.
     pub fn abandon(&mut self) {
         let keys: Vec<JobKey> = self.jobs.keys().copied().collect();
         for key in keys {
             self.settle_unfinished(key, "the dispatcher stepped down");
         }
-        for (key, work, _) in std::mem::take(&mut self.parked) {
+        for parked in std::mem::take(&mut self.parked) {
             let outcome = Outcome::Unknown;
-            self.actions.push(Action::Answer { key, id: work.id, outcome });
+            self.actions.push(Action::Answer { key: parked.key, id: parked.work.id, outcome });
         }
         self.targets.clear();
         self.closing.clear();
--- a/src/coordination/dispatch/own.rs
+++ b/src/coordination/dispatch/own.rs
@@ -62,6 +62,9 @@
 
     fn upsert(&mut self, info: &TargetInfo, now: Moment) {
         let Some(target) = self.targets.get_mut(&info.id) else {
+            if self.retiring || self.withheld.contains(&info.id) {
+                return;
+            }
             let target = Target::new(info.clone(), now);
             self.targets.insert(info.id.clone(), target);
             self.actions.push(Action::Watch(info.id.clone()));
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -1,8 +1,7 @@
 //! The runs that may exist on targets: how they are stopped, closed and restarted.
 
 use super::{
-    Action, CLOCK_DRIFT_PERCENT, Dispatch, JobKey, LEASE, LEASE_MARGIN, Note, STOP_PATIENCE,
-    replies::TELLING_PERCENT,
+    Action, Dispatch, JobKey, LEASE, LONGEST_LEASE, Note, STOP_PATIENCE, replies::TELLING_PERCENT,
 };
 use crate::state::{
     target::{HowEnded, Run, RunState, Target, TargetId, TargetTime},
@@ -34,8 +33,7 @@
         return None;
     }
     let until = TargetTime(clock.at(now).0 + LEASE.as_millis() as u64);
-    let longest = LEASE + LEASE * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN;
-    target.lease_end = target.lease_end.max(now + longest);
+    target.lease_end = target.lease_end.max(now + LONGEST_LEASE);
     Some(until)
 }
 
@@ -191,12 +189,7 @@
             return;
         }
         self.closing.swap_remove(&task.job);
-        let parked = std::mem::take(&mut self.parked);
-        let (ready, rest) = parked.into_iter().partition(|(_, work, _)| work.id == task.job);
-        self.parked = rest;
-        for (key, work, arrived) in ready {
-            self.admit(key, work, arrived, now);
-        }
+        self.unpark(now);
     }
 
     fn after_run(
--- a/src/fleet/follow.rs
+++ b/src/fleet/follow.rs
@@ -52,9 +52,10 @@
                 sleep(BEAT).await;
             } else if let Some(link) = self.own_link() {
                 links.clear();
-                let valid = link.last().is_some_and(|beat| beat.dispatches());
-                if !valid {
+                let last = link.last();
+                if !last.as_ref().is_some_and(|beat| beat.dispatches()) {
                     *self.own.borrow_mut() = None;
+                    self.follow_hint(last.and_then(|beat| beat.dispatcher)).await;
                     continue;
                 }
                 tokio::select! {
@@ -88,6 +89,16 @@
         join_all(connects).await.into_iter().flatten().collect()
     }
 
+    /// Follows the dispatcher that the last one named.
+    async fn follow_hint(self: &Rc<Self>, hint: Option<SocketAddr>) {
+        let Some(hint) = hint.filter(|hint| *hint != self.me.address) else { return };
+        let links = self.connect_all(&[hint], BEAT).await;
+        if let Some(link) = best_dispatcher(&links) {
+            log::info!("peers: following the dispatcher at {}", link.address);
+            *self.own.borrow_mut() = Some(link);
+        }
+    }
+
     /// Asks the VMs of the zone until one dispatches.
     async fn find_dispatcher(self: &Rc<Self>) {
         let lost = Instant::now();
@@ -103,7 +114,7 @@
                 return;
             }
             if self.may_claim(&links, peers.len(), lost, rounds).await {
-                self.claim();
+                self.claim(Vec::new());
                 return;
             }
             sleep(PAUSE).await;
@@ -117,7 +128,7 @@
         lost: Instant,
         rounds: u32,
     ) -> bool {
-        if self.plan().is_none() || self.is_leaving() || lost.elapsed() < START_GRACE {
+        if self.plan().is_none() || self.is_leaving() || self.started.elapsed() < START_GRACE {
             return false;
         }
         let beats: Vec<Beat> = links.iter().filter_map(|link| link.last()).collect();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod entry;
 pub mod follow;
+pub mod handover;
 pub mod notes;
 pub mod own;
 
@@ -20,10 +21,10 @@
     state::{
         id::{ConfigVersion, VmName, ZoneName},
         plan::Plan,
-        target::{Report, TargetInfo, TargetTime},
+        target::{Report, TargetId, TargetInfo, TargetTime},
         work::{Outcome, Work},
     },
-    transport::fleet::{Host, Link},
+    transport::fleet::{Handed, Host, Link},
 };
 use clock::Clock;
 use indexmap::IndexMap;
@@ -34,6 +35,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
+    time::Instant,
 };
 use tokio::task::spawn_local;
 
@@ -67,6 +69,7 @@
     epoch_seen: Cell<u64>,
     leaving: Cell<bool>,
     fetching: Cell<bool>,
+    started: Instant,
 }
 
 impl<T> Node<T>
@@ -89,6 +92,7 @@
             epoch_seen: Cell::new(0),
             leaving: Cell::new(false),
             fetching: Cell::new(false),
+            started: Instant::now(),
         })
     }
 
@@ -174,7 +178,7 @@
 
     /// Whether this VM is its zone's dispatcher.
     pub fn dispatches(&self) -> bool {
-        self.dispatching.borrow().is_some()
+        self.dispatching.borrow().as_ref().is_some_and(|d| d.successor.is_none())
     }
 
     /// Whether this VM is stopping.
@@ -182,9 +186,10 @@
         self.leaving.get()
     }
 
-    /// Stops dispatching and being ready; jobs in progress end.
-    pub fn leave(&self) {
+    /// Is not ready any more and hands its zone over; jobs in progress are run to their end.
+    pub fn leave(self: &Rc<Self>) {
         self.leaving.set(true);
+        spawn_local(Rc::clone(self).retire());
     }
 
     fn own_link(&self) -> Option<Rc<Link>> {
@@ -192,8 +197,8 @@
     }
 
     fn dispatcher_address(&self) -> Option<SocketAddr> {
-        if self.dispatches() {
-            return Some(self.me.address);
+        if let Some(d) = &*self.dispatching.borrow() {
+            return Some(d.successor.unwrap_or(self.me.address));
         }
         self.own_link().map(|link| link.address)
     }
@@ -241,8 +246,8 @@
     fn beat(&self) -> Beat {
         let now = self.clock.now();
         let (epoch, spare) = match &*self.dispatching.borrow() {
-            Some(d) => (d.epoch, d.core.spare(now)),
-            None => (0, 0),
+            Some(d) if d.successor.is_none() => (d.epoch, d.core.spare(now)),
+            _ => (0, 0),
         };
         let hints = self.hints.borrow();
         let zones = hints
@@ -278,8 +283,12 @@
         }
     }
 
-    async fn run(self: &Rc<Self>, work: Work, may_pass: bool) -> Outcome {
-        self.run_here(work, may_pass).await
+    async fn run(self: &Rc<Self>, work: Work, how: Handed) -> Outcome {
+        self.run_here(work, how).await
+    }
+
+    fn take_over(self: &Rc<Self>, epoch: u64, kept: Vec<TargetId>) -> bool {
+        self.succeed(epoch, kept)
     }
 
     fn snapshot(&self) -> Snapshot {
--- a/src/fleet/own.rs
+++ b/src/fleet/own.rs
@@ -10,13 +10,15 @@
         time::Moment,
         work::{Outcome, Refusal, Work},
     },
+    transport::fleet::Handed,
 };
 use indexmap::{IndexMap, IndexSet};
 use std::{
     hash::{Hash, Hasher},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
     sync::oneshot,
@@ -47,6 +49,12 @@
     pub core: Dispatch,
     /// Orders the dispatchers of a zone.
     pub epoch: u64,
+    /// Where the successor is, once it has taken over.
+    pub successor: Option<SocketAddr>,
+    /// Whether a predecessor still keeps some targets.
+    pub partial: bool,
+    /// When the predecessor last told what it keeps.
+    pub told: Instant,
     since: Moment,
     raised: Moment,
     waiters: IndexMap<JobKey, oneshot::Sender<Outcome>>,
@@ -86,7 +94,7 @@
     T: Targets,
 {
     /// Makes this VM its zone's dispatcher.
-    pub(super) fn claim(self: &Rc<Self>) {
+    pub(super) fn claim(self: &Rc<Self>, kept: Vec<TargetId>) {
         let Some(plan) = self.plan() else { return };
         if self.dispatches() || self.is_leaving() {
             return;
@@ -95,12 +103,17 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let epoch = (self.epoch_seen.get() + 1).max(unix.as_millis() as u64 / EPOCH_MS);
         self.epoch_seen.set(epoch);
-        let core = Dispatch::new(fence(epoch, self.me.vm.as_str()), Arc::clone(&plan), now);
+        let mut core = Dispatch::new(fence(epoch, self.me.vm.as_str()), Arc::clone(&plan), now);
+        let partial = !kept.is_empty();
+        core.withhold(kept);
         log::info!("dispatch: this VM dispatches {} from now on, epoch {epoch}", self.me.zone);
         *self.own.borrow_mut() = None;
         *self.dispatching.borrow_mut() = Some(Dispatching {
             core,
             epoch,
+            successor: None,
+            partial,
+            told: Instant::now(),
             since: now,
             raised: now,
             waiters: IndexMap::new(),
@@ -115,7 +128,12 @@
                 core.tick(now);
                 n += 1;
                 if n % 200 == 0 {
-                    log::info!("TRIAL {:?} {:?} {:?}", core.slowness(), core.counts(), core.times());
+                    log::info!(
+                        "TRIAL {:?} {:?} {:?}",
+                        core.slowness(),
+                        core.counts(),
+                        core.times()
+                    );
                 }
             }) {
                 sleep(TICK).await;
@@ -142,7 +160,10 @@
 
     /// Takes in that another VM says it is this zone's dispatcher.
     pub(super) fn meet_dispatcher(self: &Rc<Self>, beat: &Beat) {
-        let mine = self.dispatching.borrow().as_ref().map(|d| (d.epoch, self.me.address));
+        let dispatching = self.dispatching.borrow();
+        let rival = dispatching.as_ref().filter(|d| d.successor.is_none());
+        let mine = rival.map(|d| (d.epoch, self.me.address));
+        drop(dispatching);
         if mine.is_some_and(|mine| mine < (beat.epoch, beat.from.address)) {
             self.step_down("another dispatcher has a higher epoch");
         }
@@ -291,7 +312,10 @@
         let node = Rc::clone(self);
         let task = spawn_local(async move {
             let outcome = match link {
-                Some(link) if !link.is_closed() => link.run(&work, false).await,
+                Some(link) if !link.is_closed() => {
+                    let how = Handed { may_pass: false, resumed: false };
+                    link.run(&work, how).await.unwrap_or(Outcome::Unknown)
+                }
                 _ => Outcome::NotRun {
                     refusal: Refusal::NoDispatcher,
                     retry_after: Duration::from_millis(500),
@@ -305,7 +329,7 @@
     }
 
     /// Runs a job on this zone's targets.
-    pub(super) async fn run_here(self: &Rc<Self>, work: Work, may_pass: bool) -> Outcome {
+    pub(super) async fn run_here(self: &Rc<Self>, work: Work, how: Handed) -> Outcome {
         let closed =
             Outcome::NotRun { refusal: Refusal::Closed, retry_after: Duration::from_millis(500) };
         let (tx, rx) = oneshot::channel();
@@ -313,7 +337,7 @@
         let submitted = {
             let mut dispatching = self.dispatching.borrow_mut();
             dispatching.as_mut().map(|d| {
-                let key = d.core.submit(work, may_pass, now);
+                let key = d.core.submit(work, how.may_pass, how.resumed, now);
                 d.waiters.insert(key, tx);
                 (d.epoch, key, d.core.drain())
             })
--- a/src/protocol/fleet_capnp.rs
+++ b/src/protocol/fleet_capnp.rs
@@ -2493,6 +2493,8 @@
     pub type RunResults<> = ::capnp::capability::Results<crate::fleet_capnp::peer::run_results::Owned>;
     pub type SnapshotParams<> = ::capnp::capability::Params<crate::fleet_capnp::peer::snapshot_params::Owned>;
     pub type SnapshotResults<> = ::capnp::capability::Results<crate::fleet_capnp::peer::snapshot_results::Owned>;
+    pub type HandOverParams<> = ::capnp::capability::Params<crate::fleet_capnp::peer::hand_over_params::Owned>;
+    pub type HandOverResults<> = ::capnp::capability::Results<crate::fleet_capnp::peer::hand_over_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -2551,11 +2553,15 @@
         pub fn snapshot_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::peer::snapshot_params::Owned,crate::fleet_capnp::peer::snapshot_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
+        pub fn hand_over_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::peer::hand_over_params::Owned,crate::fleet_capnp::peer::hand_over_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn beat(self: ::capnp::capability::Rc<Self>, _: BeatParams<>, _: BeatResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::beat not implemented".to_string()))) }
         fn run(self: ::capnp::capability::Rc<Self>, _: RunParams<>, _: RunResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::run not implemented".to_string()))) }
         fn snapshot(self: ::capnp::capability::Rc<Self>, _: SnapshotParams<>, _: SnapshotResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::snapshot not implemented".to_string()))) }
+        fn hand_over(self: ::capnp::capability::Rc<Self>, _: HandOverParams<>, _: HandOverResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::hand_over not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -2588,6 +2594,7 @@
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::beat(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::run(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::snapshot(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::hand_over(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -3089,6 +3096,10 @@
             pub fn get_may_pass(self) -> bool {
                 self.reader.get_bool_field(0)
             }
+            #[inline]
+            pub fn get_resumed(self) -> bool {
+                self.reader.get_bool_field(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -3167,6 +3178,14 @@
             pub fn set_may_pass(&mut self, value: bool)  {
                 self.builder.set_bool_field(0, value);
             }
+            #[inline]
+            pub fn get_resumed(self) -> bool {
+                self.builder.get_bool_field(1)
+            }
+            #[inline]
+            pub fn set_resumed(&mut self, value: bool)  {
+                self.builder.set_bool_field(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3181,7 +3200,7 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(206, 99, 18, 20, 101, 108, 118, 215),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
@@ -3191,28 +3210,35 @@
                 ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
                 ::capnp::word(46, 114, 117, 110, 36, 80, 97, 114),
                 ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(119, 111, 114, 107, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(135, 151, 29, 207, 150, 117, 59, 249),
@@ -3229,11 +3255,20 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 115, 117, 109, 101, 100, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::fleet_capnp::work::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3247,9 +3282,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
             pub(crate) const TYPE_ID: u64 = 0xd776_6c65_1412_63ce;
         }
     }
@@ -3909,4 +3944,440 @@
             pub(crate) const TYPE_ID: u64 = 0xdc25_e645_0b7c_65ee;
         }
     }
+
+    pub mod hand_over_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_kept(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_kept(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_epoch(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_kept(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_kept(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_kept(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_kept(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(53, 143, 110, 37, 229, 254, 243, 252),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+                ::capnp::word(46, 104, 97, 110, 100, 79, 118, 101),
+                ::capnp::word(114, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(107, 101, 112, 116, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xfcf3_fee5_256e_8f35;
+        }
+    }
+
+    pub mod hand_over_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_taken(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_taken(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_taken(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(233, 120, 156, 131, 139, 94, 255, 208),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+                ::capnp::word(46, 104, 97, 110, 100, 79, 118, 101),
+                ::capnp::word(114, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 97, 107, 101, 110, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xd0ff_5e8b_839c_78e9;
+        }
+    }
 }
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -13,6 +13,7 @@
     },
     state::{
         id::ConfigVersion,
+        target::TargetId,
         work::{Outcome, Work},
     },
 };
@@ -40,6 +41,15 @@
 /// Longest wait for what a VM knows.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// How a job is handed over.
+#[derive(Clone, Copy, Debug)]
+pub struct Handed {
+    /// Whether it may be passed on to another zone.
+    pub may_pass: bool,
+    /// Whether it may have run under an earlier dispatcher of the zone.
+    pub resumed: bool,
+}
+
 /// What a VM does for those that connect to it.
 pub trait Host: 'static {
     /// What it says of itself.
@@ -47,7 +57,9 @@
     /// Takes in what a peer said of itself.
     fn heard(self: &Rc<Self>, beat: Beat);
     /// Runs a job.
-    fn run(self: &Rc<Self>, work: Work, may_pass: bool) -> impl Future<Output = Outcome>;
+    fn run(self: &Rc<Self>, work: Work, how: Handed) -> impl Future<Output = Outcome>;
+    /// Succeeds the dispatcher with this epoch on all targets but those it keeps; false if it won't.
+    fn take_over(self: &Rc<Self>, epoch: u64, kept: Vec<TargetId>) -> bool;
     /// What it knows.
     fn snapshot(&self) -> Snapshot;
 }
@@ -92,15 +104,31 @@
     ) -> Result<(), capnp::Error> {
         self.last_beat.set(Instant::now());
         let may_pass = params.get()?.get_may_pass();
+        let how = Handed { may_pass, resumed: params.get()?.get_resumed() };
         let work = read_work(params.get()?.get_work()?)?;
         let outcome = tokio::select! {
-            outcome = self.host.run(work, may_pass) => outcome,
+            outcome = self.host.run(work, how) => outcome,
             () = self.silence() => Outcome::Unknown,
         };
         write_outcome(outcome, results.get().init_outcome());
         Ok(())
     }
 
+    async fn hand_over(
+        self: Rc<Self>,
+        params: peer::HandOverParams,
+        mut results: peer::HandOverResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let mut kept = Vec::new();
+        for id in params.get_kept()? {
+            kept.push(TargetId::from(id?.to_str()?));
+        }
+        let taken = self.host.take_over(params.get_epoch(), kept);
+        results.get().set_taken(taken);
+        Ok(())
+    }
+
     async fn snapshot(
         self: Rc<Self>,
         _: peer::SnapshotParams,
@@ -204,26 +232,46 @@
     }
 
     /// Has the peer run a job. Dropping the future cancels the job there.
-    pub async fn run(&self, work: &Work, may_pass: bool) -> Outcome {
+    ///
+    /// # Errors
+    ///
+    /// [`RpcError`] if the connection was given up: what became of the job is unknown.
+    pub async fn run(&self, work: &Work, how: Handed) -> Result<Outcome, RpcError> {
         let mut req = self.client.run_request();
-        req.get().set_may_pass(may_pass);
+        req.get().set_may_pass(how.may_pass);
+        req.get().set_resumed(how.resumed);
         write_work(work, req.get().init_work());
         let answer = async {
             let res = req.send().promise.await?;
             Ok::<_, RpcError>(read_outcome(res.get()?.get_outcome()?)?)
         };
         tokio::select! {
-            answer = answer => answer.unwrap_or_else(|e| {
+            answer = answer => answer.inspect_err(|e| {
                 if !e.is_disconnected() {
                     log::warn!("links: run of {} at {} failed: {e}", work.id, self.address);
                 }
                 self.close();
-                Outcome::Unknown
             }),
-            () = self.closed() => Outcome::Unknown,
+            () = self.closed() => Err(RpcError::Timeout),
         }
     }
 
+    /// Hands all targets but those `kept` over to the peer; false if it does not take them.
+    ///
+    /// # Errors
+    ///
+    /// An [`RpcError`].
+    pub async fn hand_over(&self, epoch: u64, kept: &[TargetId]) -> Result<bool, RpcError> {
+        let mut req = self.client.hand_over_request();
+        req.get().set_epoch(epoch);
+        let mut list = req.get().init_kept(kept.len() as u32);
+        for (n, id) in kept.iter().enumerate() {
+            list.set(n as u32, &*id.0);
+        }
+        let res = timeout(BEAT_TIMEOUT, req.send().promise);
+        Ok(res.await.map_err(|_| RpcError::Timeout)??.get()?.get_taken())
+    }
+
     /// What the peer knows.
     ///
     /// # Errors
