One lost answer is no verdict on a target; overload refuses what would be late

Cause: with 5% of the orders unanswered, each lost answer to a hold took its target out of work for 0.6 s or more, and runs on targets not heard of were restarted as stragglers and blamed; a burst then met half of the places, and jobs that would end after their objective made those behind them late. Ruled out: the shift of clients to one zone (the others were as empty).

--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -129,7 +129,7 @@
         if self.jobs.len() >= MAX_JOBS {
             return self.refuse(key, &job.work, Refusal::QueueFull, SHORTEST_RETRY, expected);
         }
-        if end + ANSWER_TIME > job.deadline {
+        if end + ANSWER_TIME > job.latest_end() {
             let back = retry_after(end - job.objective);
             return self.refuse(key, &job.work, Refusal::TooLate, back, expected);
         }
@@ -224,7 +224,8 @@
             let mut trial = forecast.clone();
             let end = self.put_job(&mut trial, rank.key, now);
             let Some(job) = self.jobs.get(&rank.key) else { continue };
-            if end.is_some_and(|end| end + ANSWER_TIME <= job.deadline) {
+            let latest = if job.sent { job.deadline } else { job.latest_end() };
+            if end.is_some_and(|end| end + ANSWER_TIME <= latest) {
                 forecast = trial;
                 continue;
             }
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -19,6 +19,10 @@
 /// Weight of each further observation.
 const NEXT_SCALE_WEIGHT: f64 = 0.3;
 
+/// Jobs are let in that are expected to end within this many times their latency objective; expected
+/// run times are off by a third.
+const OBJECTIVE_SLACK: f64 = 1.3;
+
 /// What is known of one task.
 #[derive(Clone, Debug, Default)]
 pub struct Task {
@@ -66,6 +70,13 @@
 }
 
 impl Job {
+    /// A job expected to end later than this is refused while nothing of it has started: what it
+    /// would take makes those behind it late too.
+    pub fn latest_end(&self) -> Moment {
+        let span = (self.objective - self.arrived).mul_f64(OBJECTIVE_SLACK);
+        (self.arrived + span).min(self.deadline)
+    }
+
     /// Learns from a task that runs, or ran, `ratio` times as long as expected.
     pub fn learn_scale(&mut self, ratio: f64) {
         let seen = ratio.clamp(0.1, 10.0).ln();
--- a/src/coordination/dispatch/own.rs
+++ b/src/coordination/dispatch/own.rs
@@ -110,6 +110,7 @@
         let untold =
             target.runs.values().any(|r| r.usual > LONG_RUN && r.percent < TELLING_PERCENT);
         let wait = match (target.taken, stopping) {
+            _ if target.missed > 0 => Duration::ZERO,
             (false, _) => Duration::ZERO,
             (true, true) => HOLD_WAIT / 6,
             (true, false) if untold => HOLD_WAIT / 3,
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -13,6 +13,8 @@
 /// Longest time from the confirmation of a stop to the end of its run, as the platform states.
 const STOP_TIME: Duration = Duration::from_millis(50);
 
+/// Requests without an answer, in a row, after which a target gets no work.
+const MISSES: u32 = 2;
 /// From this progress on, a run's end is told by it; below, whole percents are too coarse.
 pub(super) const TELLING_PERCENT: u32 = 10;
 
@@ -68,8 +70,10 @@
     Fenced,
     /// Another incarnation answered.
     OtherLife,
-    /// No answer.
+    /// No connection can be made.
     Unreachable,
+    /// No answer.
+    NoAnswer,
 }
 
 impl Dispatch {
@@ -166,6 +170,7 @@
             Err(HoldError::Fenced) => self.actions.push(Action::Fenced(id.clone())),
             Err(HoldError::OtherLife) => self.other_life(id, now),
             Err(HoldError::Unreachable) => self.silent(id, now),
+            Err(HoldError::NoAnswer) => self.missed(id, now),
         }
         self.fill(now);
     }
@@ -178,6 +183,7 @@
         }
         target.clock = later_clock(target.clock, report.clock, now);
         target.heard = now;
+        target.missed = 0;
         if target.silent_since.take().is_some() {
             self.note(Note::TargetIs { target: id.clone(), state: "answering again" });
         }
@@ -262,6 +268,15 @@
         }
     }
 
+    /// One answer may be lost, or a connection dead; the next request goes out on another one.
+    fn missed(&mut self, id: &TargetId, now: Moment) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.missed += 1;
+        if target.missed >= MISSES {
+            self.silent(id, now);
+        }
+    }
+
     /// The target did not answer; it gets no work until it does.
     fn silent(&mut self, id: &TargetId, now: Moment) {
         let Some(target) = self.targets.get_mut(id) else { return };
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -17,6 +17,8 @@
 /// See [`STRAGGLER_FACTOR`].
 const STRAGGLER_SLACK: Duration = Duration::from_millis(100);
 
+/// A target that was heard longer ago tells nothing of the progress of its runs.
+const FRESH: Duration = Duration::from_millis(200);
 /// Error of an end told by progress, as a share of the run time: half a percent of a tenth.
 const PROGRESS_ERROR: f64 = 0.05;
 /// Time from the decision to stop a run to the start of its next one.
@@ -78,7 +80,7 @@
                             stops.push(id());
                         }
                     }
-                    RunState::Running { since } => {
+                    RunState::Running { since } if now - target.heard <= FRESH => {
                         let limit = run.usual.mul_f64(STRAGGLER_FACTOR) + STRAGGLER_SLACK;
                         let slow = run.percent < TELLING_PERCENT
                             || run.expected > now + run.usual + STRAGGLER_SLACK;
--- a/src/fleet/own.rs
+++ b/src/fleet/own.rs
@@ -2,7 +2,7 @@
 
 use super::{Node, Targets, notes};
 use crate::{
-    coordination::dispatch::{Action, Dispatch, JobKey, Order},
+    coordination::dispatch::{Action, Dispatch, JobKey, Order, replies::HoldError},
     protocol::fleet::Beat,
     state::{
         id::ZoneName,
@@ -270,7 +270,7 @@
             self.decide_in(epoch, |core, now| hold = core.next_hold(&id, now));
             let Some(hold) = hold else { break };
             let reply = self.calls.hold(&hold).await;
-            let failed = reply.is_err();
+            let failed = matches!(reply, Err(HoldError::Unreachable | HoldError::OtherLife));
             if !self.decide_in(epoch, |core, now| core.held(&id, sent, reply, now)) {
                 return;
             }
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -202,6 +202,8 @@
     pub silent_since: Option<Moment>,
     /// When it was last heard.
     pub heard: Moment,
+    /// Requests in a row that it did not answer.
+    pub missed: u32,
     /// Whether it fails its work.
     pub conduct: Conduct,
     /// How much slower it is than others of its kind.
@@ -225,6 +227,7 @@
             lease_end: Moment::ZERO,
             silent_since: None,
             heard: now,
+            missed: 0,
             conduct: Conduct::default(),
             slowness: 1.0,
             full_until: Moment::ZERO,
