--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -18,6 +18,9 @@
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
 /// What another zone's dispatcher said is used for this long.
 const NEIGHBOUR_AGE: Duration = Duration::from_millis(700);
+/// A job is passed to a zone that has this part of the room it takes: most runs are short, and the
+/// other zone refuses at once what it can't end in time.
+const PASS_SHARE: u64 = 4;
 /// A caller is told to come back after this long where no target is known.
 const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
 
@@ -129,7 +132,8 @@
         if self.jobs.len() >= MAX_JOBS {
             return self.refuse(key, &job.work, Refusal::QueueFull, SHORTEST_RETRY, expected);
         }
-        if end + ANSWER_TIME > job.latest_end() {
+        let latest = if may_pass { job.latest_end() } else { job.objective };
+        if end + ANSWER_TIME > latest {
             let back = retry_after(end - job.objective);
             return self.refuse(key, &job.work, Refusal::TooLate, back, expected);
         }
@@ -163,7 +167,7 @@
 
     fn free_neighbour(&self, cpu: u64, now: Moment) -> Option<ZoneName> {
         let fresh = |n: &crate::coordination::dispatch::Neighbour| {
-            now - n.heard <= NEIGHBOUR_AGE && n.free >= cpu
+            now - n.heard <= NEIGHBOUR_AGE && n.free >= cpu / PASS_SHARE
         };
         let free = self.neighbours.iter().filter(|(_, n)| fresh(n));
         free.max_by_key(|(_, n)| n.free).map(|(zone, _)| zone.clone())
@@ -171,7 +175,7 @@
 
     fn pass(&mut self, key: JobKey, mut job: Job, zone: ZoneName, cpu: u64) {
         if let Some(neighbour) = self.neighbours.get_mut(&zone) {
-            neighbour.free -= cpu;
+            neighbour.free = neighbour.free.saturating_sub(cpu);
         }
         job.passed = true;
         self.counts.passed += 1;
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -344,12 +344,13 @@
         self.neighbours.insert(zone, Neighbour { free, heard: now });
     }
 
-    /// Free processor for other zones, in thousandths of a core: none while jobs wait here.
+    /// Free processor for other zones, in thousandths of a core, less what waits here.
     pub fn spare(&self, now: Moment) -> u64 {
-        if !self.waiting.is_empty() {
-            return 0;
-        }
-        self.targets.values().filter(|t| self.is_usable(t, now)).map(|t| t.room().cpu.0).sum()
+        let usable = self.targets.values().filter(|t| self.is_usable(t, now));
+        let free: u64 = usable.map(|t| t.room().cpu.0).sum();
+        let jobs = self.waiting.iter().filter_map(|rank| self.jobs.get(&rank.key));
+        let tasks = jobs.flat_map(|job| job.waiting.iter().filter_map(|task| job.step(*task)));
+        free.saturating_sub(tasks.map(|step| step.needs.cpu.0).sum())
     }
 
     /// The actions decided since the last call.
