A resumed job waits until nothing of the earlier dispatcher can run

Two gaps: leases counted as over from the successor's claim on, although the leaving dispatcher went on extending them on the targets it kept; and a run that is being stopped is not listed as running any more, so that its target counted as empty for up to 50 ms too early. Ruled out: a late order (run 1 was running on both). Now: leases count from the moment the predecessor keeps nothing, targets as empty 65 ms after they look so.

--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -1,9 +1,13 @@
 //! Which jobs are let in, passed to another zone, or refused at once.
 
-use super::{Action, Dispatch, JobKey, LONGEST_LEASE, MAX_JOBS, Note, Parked, Rank, job::Job};
+use super::{
+    Action, Dispatch, JobKey, LONGEST_LEASE, MAX_JOBS, Note, Parked, Rank, job::Job,
+    replies::STOP_TIME,
+};
 use crate::state::{
     id::ZoneName,
     plan::Queue,
+    target::Target,
     time::Moment,
     work::{Outcome, Refusal, Work},
 };
@@ -18,6 +22,8 @@
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
 /// What another zone's dispatcher said is used for this long.
 const NEIGHBOUR_AGE: Duration = Duration::from_millis(700);
+/// Added to the time that a stop takes: a target's clock and the way there and back.
+const STOP_MARGIN: Duration = Duration::from_millis(15);
 /// A job is passed to a zone that has this part of the room it takes: most runs are short, and the
 /// other zone refuses at once what it can't end in time.
 const PASS_SHARE: u64 = 4;
@@ -49,8 +55,10 @@
     /// Whether nothing that an earlier dispatcher started can be running any more.
     fn is_settled(&self, now: Moment) -> bool {
         let leases_over = now - self.since > LONGEST_LEASE;
-        let all_taken = || self.targets.values().all(|t| t.taken);
-        leases_over || !self.targets.is_empty() && self.withheld.is_empty() && all_taken()
+        // A run that was being stopped when the target was taken is not listed as running any more.
+        let ended = |t: &Target| t.taken && now - t.taken_at > STOP_TIME + STOP_MARGIN;
+        let all_ended = || self.targets.values().all(ended);
+        self.withheld.is_empty() && (leases_over || !self.targets.is_empty() && all_ended())
     }
 
     /// Admits parked submissions whose earlier runs are closed.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -261,7 +261,7 @@
     retiring: bool,
     /// Targets that a retiring predecessor keeps.
     withheld: IndexSet<TargetId>,
-    /// Since when this dispatcher owns the zone.
+    /// Since when no other dispatcher extends leases in the zone, as far as is known.
     since: Moment,
     actions: Vec<Action>,
 }
@@ -387,7 +387,11 @@
     }
 
     /// Leaves some targets to a retiring predecessor, as long as it keeps them.
-    pub fn withhold(&mut self, kept: Vec<TargetId>) {
+    pub fn withhold(&mut self, kept: Vec<TargetId>, now: Moment) {
+        if !self.withheld.is_empty() {
+            // The predecessor has extended leases until now.
+            self.since = now;
+        }
         self.withheld = kept.into_iter().collect();
     }
 
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -11,7 +11,7 @@
 /// A target that refused a task for want of room is given none for this long.
 const FULL_PAUSE: Duration = Duration::from_millis(25);
 /// Longest time from the confirmation of a stop to the end of its run, as the platform states.
-const STOP_TIME: Duration = Duration::from_millis(50);
+pub(super) const STOP_TIME: Duration = Duration::from_millis(50);
 
 /// Requests without an answer, in a row, after which a target gets no work.
 const MISSES: u32 = 2;
@@ -238,6 +238,7 @@
         let Some(target) = self.targets.get_mut(id) else { return };
         if clear && !target.taken && target.runs.is_empty() {
             target.taken = true;
+            target.taken_at = now;
             self.note(Note::TargetIs { target: id.clone(), state: "taken" });
         }
     }
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -86,13 +86,14 @@
             return self.dispatches();
         }
         let partial = !kept.is_empty();
+        let now = self.clock.now();
         let took = self.with(|d| {
             if d.epoch <= epoch || !d.partial {
                 return false;
             }
             d.partial = partial;
             d.told = Instant::now();
-            d.core.withhold(kept);
+            d.core.withhold(kept, now);
             true
         });
         self.list_targets();
@@ -106,7 +107,8 @@
         }
         if self.with(|d| std::mem::take(&mut d.partial)) == Some(true) {
             log::info!("dispatch: the predecessor is silent, all its targets are taken");
-            self.with(|d| d.core.withhold(Vec::new()));
+            let now = self.clock.now();
+            self.with(|d| d.core.withhold(Vec::new(), now));
             self.list_targets();
         }
     }
--- a/src/fleet/own.rs
+++ b/src/fleet/own.rs
@@ -105,7 +105,7 @@
         self.epoch_seen.set(epoch);
         let mut core = Dispatch::new(fence(epoch, self.me.vm.as_str()), Arc::clone(&plan), now);
         let partial = !kept.is_empty();
-        core.withhold(kept);
+        core.withhold(kept, now);
         log::info!("dispatch: this VM dispatches {} from now on, epoch {epoch}", self.me.zone);
         *self.own.borrow_mut() = None;
         *self.dispatching.borrow_mut() = Some(Dispatching {
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -188,6 +188,8 @@
     pub info: TargetInfo,
     /// Whether nothing of an earlier owner runs there any more.
     pub taken: bool,
+    /// Since when that is so.
+    pub taken_at: Moment,
     /// Its clock.
     pub clock: Option<HeardClock>,
     /// The runs that may be there.
@@ -220,6 +222,7 @@
         Target {
             info,
             taken: false,
+            taken_at: Moment::ZERO,
             clock: None,
             runs: IndexMap::new(),
             used: Resources::default(),
