--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -7,7 +7,7 @@
   address @2 :Text;
   # Where this protocol is served, IP:PORT.
   weight @3 :UInt32;
-  # Processor share, in thousandths of a core; the strongest VM dispatches.
+  # What it can carry, in thousandths of a core; the strongest VM dispatches.
   incarnation @4 :UInt64;
 }
 
--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -142,7 +142,8 @@
         let end = forecast.put(job.waiting.len(), base.unwrap_or_default(), now);
         let cpu: u64 = job.work.steps.iter().map(|s| s.needs.cpu.0 * u64::from(s.count)).sum();
         let late = end.is_none_or(|end| end > job.objective);
-        let zone = if late && origin == Origin::Caller { self.free_neighbour(cpu, now) } else { None };
+        let zone =
+            if late && origin == Origin::Caller { self.free_neighbour(cpu, now) } else { None };
         if let Some(zone) = zone {
             return self.pass(key, job, zone, cpu);
         }
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -307,21 +307,6 @@
         kinds.into_iter().map(|kind| (kind.clone(), self.speeds.slowness(kind))).collect()
     }
 
-    /// TRIAL
-    pub fn times(&self) -> Vec<(QueueName, f64, f64)> {
-        self.plan
-            .queues
-            .iter()
-            .map(|q| {
-                (
-                    q.name.clone(),
-                    self.speeds.seconds(&q.name, None),
-                    self.speeds.seconds(&q.name, Some(100)),
-                )
-            })
-            .collect()
-    }
-
     /// Jobs that are not answered.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len() + self.parked.len()
--- a/src/fleet/own.rs
+++ b/src/fleet/own.rs
@@ -124,19 +124,7 @@
         self.list_targets();
         let node = Rc::clone(self);
         spawn_local(async move {
-            let mut n = 0;
-            while node.decide_in(epoch, |core, now| {
-                core.tick(now);
-                n += 1;
-                if n % 200 == 0 {
-                    log::info!(
-                        "TRIAL {:?} {:?} {:?}",
-                        core.slowness(),
-                        core.counts(),
-                        core.times()
-                    );
-                }
-            }) {
+            while node.decide_in(epoch, |core, now| core.tick(now)) {
                 sleep(TICK).await;
             }
         });
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -22,7 +22,7 @@
     pub zone: ZoneName,
     /// Where it serves its peers.
     pub address: SocketAddr,
-    /// Its processor share, in thousandths of a core.
+    /// What it can carry as a dispatcher, in thousandths of a core.
     pub weight: u32,
     /// Numbers its starts, rising.
     pub incarnation: Incarnation,
--- a/tests/dispatch/load.rs
+++ b/tests/dispatch/load.rs
@@ -105,8 +105,7 @@
 #[test]
 fn places_of_leaving_callers_serve_others() {
     let mut world = World::new(4).started();
-    let left: Vec<JobKey> =
-        (0..4).map(|id| world.submit(work(id, LONG, 2, ms(900)))).collect();
+    let left: Vec<JobKey> = (0..4).map(|id| world.submit(work(id, LONG, 2, ms(900)))).collect();
     world.run(ms(50));
     for key in left {
         world.dispatch.cancel(key, world.now);
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -72,11 +72,7 @@
 pub fn work(id: u64, queue: &str, count: u32, declared: Duration) -> Work {
     let step = Step {
         count,
-        needs: Resources {
-            cpu: MilliCores(14_000),
-            memory: Mebibytes(64),
-            ..Resources::default()
-        },
+        needs: Resources { cpu: MilliCores(14_000), memory: Mebibytes(64), ..Resources::default() },
         declared: Some(declared),
         after: Vec::new(),
         required: None,
