--- a/src/coordination/dispatch/forecast.rs
+++ b/src/coordination/dispatch/forecast.rs
@@ -89,7 +89,7 @@
             sum += cpu;
             count += 1;
         }
-        if count == 0 { USUAL_CPU } else { sum / count }
+        u64::checked_div(sum, count).unwrap_or(USUAL_CPU)
     }
 
     /// Puts the jobs that wait before `rank` on the places.
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -75,10 +75,10 @@
             for (task, run) in &target.runs {
                 let id = || (*task, target.info.id.clone());
                 match run.state {
-                    RunState::Stopping { since, acknowledged: None, tries } => {
-                        if now - since > STOP_RETRY * tries {
-                            stops.push(id());
-                        }
+                    RunState::Stopping { since, acknowledged: None, tries }
+                        if now - since > STOP_RETRY * tries =>
+                    {
+                        stops.push(id());
                     }
                     RunState::Running { since } if now - target.heard <= FRESH => {
                         let limit = run.usual.mul_f64(STRAGGLER_FACTOR) + STRAGGLER_SLACK;
--- a/src/fleet/follow.rs
+++ b/src/fleet/follow.rs
@@ -170,9 +170,7 @@
             let open = self.others.borrow().get(&zone).is_some_and(|link| {
                 !link.is_closed() && link.last().is_some_and(|beat| beat.dispatches())
             });
-            if !self.dispatches() {
-                sleep(BEAT).await;
-            } else if open {
+            if open || !self.dispatches() {
                 sleep(BEAT).await;
             } else {
                 self.others.borrow_mut().shift_remove(&zone);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 };
 use clock::Clock;
 use indexmap::IndexMap;
+use notes::Notes;
 use own::Dispatching;
 use std::{
     cell::{Cell, RefCell},
@@ -70,6 +71,7 @@
     leaving: Cell<bool>,
     fetching: Cell<bool>,
     started: Instant,
+    notes: RefCell<Notes>,
 }
 
 impl<T> Node<T>
@@ -93,6 +95,7 @@
             leaving: Cell::new(false),
             fetching: Cell::new(false),
             started: Instant::now(),
+            notes: RefCell::default(),
         })
     }
 
--- a/src/fleet/notes.rs
+++ b/src/fleet/notes.rs
@@ -1,14 +1,56 @@
-//! Log lines for the dispatcher's decisions.
+//! Log lines for the dispatcher's decisions, bounded for each kind of decision.
 
-use crate::coordination::dispatch::Note;
+use crate::{coordination::dispatch::Note, state::time::Moment};
+use indexmap::IndexMap;
 
-/// Writes one line for a decision.
-pub fn log(note: &Note) {
+/// Lines a second for one kind of decision; a dispatcher of the largest sites lets in 400 jobs a
+/// second, and those that go wrong have kinds of their own.
+const LINES_A_SECOND: u32 = 50;
+
+/// Writes log lines, and counts those left out.
+#[derive(Debug, Default)]
+pub struct Notes {
+    second: u64,
+    written: IndexMap<&'static str, u32>,
+}
+
+impl Notes {
+    /// Writes one line for a decision, unless this second has had enough of its kind.
+    pub fn log(&mut self, note: &Note, now: Moment) {
+        let second = now.since_start().as_secs();
+        if second != self.second {
+            self.second = second;
+            for (kind, written) in self.written.drain(..) {
+                if written > LINES_A_SECOND {
+                    log::info!("notes: {} lines of {kind} left out", written - LINES_A_SECOND);
+                }
+            }
+        }
+        let written = self.written.entry(kind(note)).or_default();
+        *written += 1;
+        if *written <= LINES_A_SECOND {
+            write(note);
+        }
+    }
+}
+
+fn kind(note: &Note) -> &'static str {
+    match note {
+        Note::Admitted { .. } => "admitted",
+        Note::Refused { .. } => "refused",
+        Note::RunEnded { .. } => "run ended",
+        Note::Straggler { .. } => "straggler",
+        Note::GaveUp { .. } => "gave up",
+        Note::SetAside { .. } => "set aside",
+        Note::TargetIs { .. } => "target",
+        Note::Woke { .. } => "woke",
+    }
+}
+
+fn write(note: &Note) {
     match note {
         Note::Admitted { id, queue, expected, ahead } => {
-            log::debug!(
-                "dispatch: job {id} of {queue} let in, expected={expected:?} ahead={ahead}"
-            );
+            log::info!("dispatch: job {id} of {queue} let in, expected={expected:?} ahead={ahead}");
         }
         Note::Refused { id, refusal, expected } => {
             log::info!("dispatch: job {id} refused: {refusal}, expected={expected:?}");
--- a/src/fleet/own.rs
+++ b/src/fleet/own.rs
@@ -1,6 +1,6 @@
 //! Drives the dispatcher of this VM's zone.
 
-use super::{Node, Targets, notes};
+use super::{Node, Targets};
 use crate::{
     coordination::dispatch::{Action, Dispatch, JobKey, Order, replies::HoldError},
     protocol::fleet::Beat,
@@ -136,10 +136,9 @@
         log::warn!("dispatch: this VM steps down, epoch {}: {reason}", old.epoch);
         old.core.abandon();
         for action in old.core.drain() {
-            if let Action::Answer { key, outcome, .. } = action {
-                if let Some(waiter) = old.waiters.swap_remove(&key) {
-                    let _ = waiter.send(outcome);
-                }
+            let Action::Answer { key, outcome, .. } = action else { continue };
+            if let Some(waiter) = old.waiters.swap_remove(&key) {
+                let _ = waiter.send(outcome);
             }
         }
         for pass in old.passes.values() {
@@ -225,7 +224,7 @@
                 }
             }
             Action::Fenced(id) => self.fenced(epoch, &id),
-            Action::Note(note) => notes::log(&note),
+            Action::Note(note) => self.notes.borrow_mut().log(&note, self.clock.now()),
         }
     }
 
