Long tasks with a hard deadline go to fast targets, and wait for one while they have slack

Ruled out: wrong speeds (learned slowness of the three speeds matched their ratio), declared times. Change: safety 2.5 instead of 1.7 where the objective is the deadline; such tasks wait for a fast target while 2.2 times the expected time would still end before the deadline; a run that would end too late waits for a fast target instead of being given up when none is free; the first runs weigh more in a target's learned speed.

--- a/src/coordination/dispatch/place.rs
+++ b/src/coordination/dispatch/place.rs
@@ -1,6 +1,6 @@
 //! Which task goes to which target.
 
-use super::{Action, Dispatch, JobKey, runs::lease};
+use super::{Action, Dispatch, JobKey, job::Job, runs::lease};
 use crate::state::{
     plan::QueueName,
     target::{Run, RunState, Target, TargetId},
@@ -10,13 +10,19 @@
 use std::{cmp::Ordering, time::Duration};
 
 /// Jobs that found no room in one pass before the pass ends; those behind them rarely find any.
-const MISSES: usize = 3;
+const MISSES: usize = 6;
 /// How much longer a task is taken to run away from its data or its fellow tasks.
 const FAR_FACTOR: f64 = 1.5;
 
 /// A task is placed where it would meet its job's objective also if it took this much longer than
 /// expected; half of all tasks take longer than expected.
 const SAFETY: f64 = 1.7;
+/// The same where the objective is the caller's deadline or close to it: an answer that comes after
+/// an objective is worth something, one after the deadline nothing, and the whole job is lost.
+const DEADLINE_SAFETY: f64 = 2.5;
+/// A task with a hard deadline waits for a fast target while it would end in time there also if it
+/// took this much longer than expected.
+const WAIT_SAFETY: f64 = 2.2;
 
 /// A target that could run a task.
 #[derive(Clone, Debug)]
@@ -37,6 +43,18 @@
     }
 }
 
+impl Job {
+    /// How much longer than expected its tasks may take without missing the objective.
+    fn safety(&self) -> f64 {
+        if self.is_hard() { DEADLINE_SAFETY } else { SAFETY }
+    }
+
+    /// Whether its objective is its deadline, or close to it.
+    fn is_hard(&self) -> bool {
+        self.deadline - self.objective < (self.objective - self.arrived) / 4
+    }
+}
+
 impl Dispatch {
     /// Starts tasks that wait, most urgent first, as far as there is room.
     pub(super) fn fill(&mut self, now: Moment) {
@@ -102,11 +120,34 @@
             if now + time > job.deadline {
                 return None;
             }
-            let in_time = now + time.mul_f64(SAFETY) <= job.objective;
+            let in_time = now + time.mul_f64(job.safety()) <= job.objective;
             let left = t.room().minus(step.needs).cpu.0;
             Some(Candidate { id: t.info.id.clone(), time, in_time, left })
         });
-        candidates.min_by(Candidate::compare)
+        let best = candidates.min_by(Candidate::compare)?;
+        let waits = !best.in_time && job.is_hard() && self.has_slack(key, step, now);
+        (!waits).then_some(best)
+    }
+
+    /// Whether a task may wait for a place on a faster target without missing its deadline there.
+    fn has_slack(&self, key: JobKey, step: &Step, now: Moment) -> bool {
+        let Some(job) = self.jobs.get(&key) else { return false };
+        let fastest = self.fastest_time(key, step, now);
+        fastest.is_some_and(|time| now + time.mul_f64(WAIT_SAFETY) <= job.deadline)
+    }
+
+    /// Expected run time of a task on the fastest target that may be given work, free or not.
+    pub(super) fn fastest_time(&self, key: JobKey, step: &Step, now: Moment) -> Option<Duration> {
+        let job = self.jobs.get(&key)?;
+        let pool = &self.plan.queue(&job.work.queue)?.pool;
+        let targets = self.targets.values().filter(|t| {
+            t.info.pool == *pool
+                && self.is_usable(t, now)
+                && step.needs.fits(t.info.capacity)
+                && step.required.as_ref().is_none_or(|label| t.info.has(label))
+        });
+        let times = targets.map(|t| self.task_time(&job.work.queue, step, t));
+        Some(times.min()?.mul_f64(job.scale()))
     }
 
     /// The rack that a step's tasks should run on.
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -122,13 +122,13 @@
         found
     }
 
-    /// Restarts a run on a target where it ends in time, or gives its job up.
+    /// Has a run start again where it ends in time, as soon as there is room, or gives its job up.
     fn rescue(&mut self, key: JobKey, task: TaskId, on: TargetId, now: Moment) {
         let Some(job) = self.jobs.get(&key) else { return };
         let Some(step) = job.step(task).cloned() else { return };
         let fresh = job.tasks.get(&task).is_some_and(|t| !t.restarted);
-        let faster = self.best_target(key, task, &step, now);
-        let in_time = faster.is_some_and(|c| now + RESTART_TIME + c.time <= job.deadline);
+        let fastest = self.fastest_time(key, &step, now);
+        let in_time = fastest.is_some_and(|time| now + RESTART_TIME + time <= job.deadline);
         if !fresh || !in_time {
             self.settle_unfinished(key, "by its progress, its deadline can't be met");
             return;
@@ -258,7 +258,9 @@
         let kind = target.info.kind.clone();
         let declared = declared.map(|d| d.as_millis() as u64);
         let usual = self.speeds.seconds(queue, declared) * self.speeds.slowness(&kind);
-        target.slowness = next_slowness(target.slowness, took / usual.max(1e-3));
+        target.observed += 1;
+        let weight = SLOWNESS_WEIGHT.max(1.0 / (f64::from(target.observed) + PRIOR_RUNS));
+        target.slowness = next_slowness(target.slowness, took / usual.max(1e-3), weight);
         if USUAL_SLOWNESS.contains(&target.slowness) {
             self.speeds.learn(queue, declared, &kind, took);
             self.speeds.centre();
@@ -270,8 +272,10 @@
 const USUAL_SLOWNESS: RangeInclusive<f64> = 0.6..=1.7;
 /// Weight of a new observation of one target's slowness.
 const SLOWNESS_WEIGHT: f64 = 0.08;
+/// The first observations of a target weigh more, as if this many had told that it is usual.
+const PRIOR_RUNS: f64 = 3.0;
 
-fn next_slowness(old: f64, seen: f64) -> f64 {
-    let next = old + SLOWNESS_WEIGHT * (seen.clamp(0.25, 6.0) - old);
+fn next_slowness(old: f64, seen: f64, weight: f64) -> f64 {
+    let next = old + weight * (seen.clamp(0.25, 6.0) - old);
     next.clamp(0.5, 8.0)
 }
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -212,6 +212,8 @@
     pub conduct: Conduct,
     /// How much slower it is than others of its kind.
     pub slowness: f64,
+    /// Runs that `slowness` was learned from.
+    pub observed: u32,
     /// It refused a task for want of room; no further ones before this moment.
     pub full_until: Moment,
     /// Since when the list lacks it.
@@ -235,6 +237,7 @@
             missed: 0,
             conduct: Conduct::default(),
             slowness: 1.0,
+            observed: 0,
             full_until: Moment::ZERO,
             missing_since: None,
         }
