--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Action, Dispatch, JobKey, LONGEST_LEASE, MAX_JOBS, Note, Parked, Rank, job::Job,
-    replies::STOP_TIME,
+    replies::{STOP_MARGIN, STOP_TIME},
 };
 use crate::state::{
     id::ZoneName,
@@ -22,8 +22,6 @@
 const LONGEST_RETRY: Duration = Duration::from_secs(5);
 /// What another zone's dispatcher said is used for this long.
 const NEIGHBOUR_AGE: Duration = Duration::from_millis(700);
-/// Added to the time that a stop takes: a target's clock and the way there and back.
-const STOP_MARGIN: Duration = Duration::from_millis(15);
 /// A job is passed to a zone that has this part of the room it takes: most runs are short, and the
 /// other zone refuses at once what it can't end in time.
 const PASS_SHARE: u64 = 4;
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::state::{
     id::ZoneName,
+    patience::Patience,
     plan::{Label, Plan, QueueName},
     speed::Speeds,
     target::{Fence, Life, Target, TargetId, TargetTime},
@@ -66,6 +67,8 @@
     pub task: TaskId,
     /// The run.
     pub run: RunNumber,
+    /// How long to wait for the answer.
+    pub patience: Duration,
 }
 
 /// What the driver has to do.
@@ -253,6 +256,8 @@
     parked: Vec<Parked>,
     neighbours: IndexMap<ZoneName, Neighbour>,
     speeds: Speeds<QueueName, Label>,
+    /// How long targets take to answer a start.
+    patience: Patience,
     counts: Counts,
     next_key: u64,
     last_call: Moment,
@@ -280,6 +285,7 @@
             parked: Vec::new(),
             neighbours: IndexMap::new(),
             speeds: Speeds::weighing(KIND_WEIGHT),
+            patience: Patience::default(),
             counts: Counts::default(),
             next_key: 0,
             last_call: now,
@@ -423,6 +429,7 @@
             fence: self.fence,
             task,
             run,
+            patience: self.patience.limit(),
         }
     }
 }
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -12,6 +12,8 @@
 const FULL_PAUSE: Duration = Duration::from_millis(25);
 /// Longest time from the confirmation of a stop to the end of its run, as the platform states.
 pub(super) const STOP_TIME: Duration = Duration::from_millis(50);
+/// Added to the time that a stop takes: a target's clock and the way there and back.
+pub(super) const STOP_MARGIN: Duration = Duration::from_millis(15);
 
 /// Requests without an answer, in a row, after which a target gets no work.
 const MISSES: u32 = 2;
@@ -92,6 +94,10 @@
             target.clock = later_clock(target.clock, clock, now);
         }
         let Some(run) = target.runs.get_mut(&task).filter(|r| r.number == number) else { return };
+        match reply {
+            StartReply::Unknown => self.patience.missed(),
+            _ => self.patience.answered(now - run.sent),
+        }
         match reply {
             StartReply::Started(_) => {
                 if run.state == RunState::Starting {
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -1,7 +1,8 @@
 //! The runs that may exist on targets: how they are stopped, closed and restarted.
 
 use super::{
-    Action, Dispatch, JobKey, LEASE, LONGEST_LEASE, Note, STOP_PATIENCE, replies::TELLING_PERCENT,
+    Action, Dispatch, JobKey, LEASE, LONGEST_LEASE, Note, STOP_PATIENCE,
+    replies::{STOP_MARGIN, TELLING_PERCENT},
 };
 use crate::state::{
     target::{HowEnded, Run, RunState, Target, TargetId, TargetTime},
@@ -10,8 +11,8 @@
 };
 use std::{ops::RangeInclusive, time::Duration};
 
-/// A stop not confirmed in this time is sent again.
-const STOP_RETRY: Duration = Duration::from_millis(120);
+/// A stop not confirmed in this time beyond the wait for its answer is sent again.
+const STOP_RETRY: Duration = Duration::from_millis(10);
 /// A run is a straggler after this many times its expected run time, and `STRAGGLER_SLACK`.
 const STRAGGLER_FACTOR: f64 = 2.5;
 /// See [`STRAGGLER_FACTOR`].
@@ -71,15 +72,20 @@
     pub(super) fn check_runs(&mut self, now: Moment) {
         let mut stops = Vec::new();
         let mut stragglers = Vec::new();
+        let mut stopped = Vec::new();
+        let stop_retry = self.patience.limit() + STOP_RETRY;
         for target in self.targets.values() {
             for (task, run) in &target.runs {
                 let id = || (*task, target.info.id.clone());
                 match run.state {
                     RunState::Stopping { since, acknowledged: None, tries }
-                        if now - since > STOP_RETRY * tries =>
+                        if now - since > stop_retry * tries =>
                     {
                         stops.push(id());
                     }
+                    RunState::Stopping { acknowledged: Some(at), .. } if now > at + STOP_MARGIN => {
+                        stopped.push((id(), run.number));
+                    }
                     RunState::Running { since } if now - target.heard <= FRESH => {
                         let limit = run.usual.mul_f64(STRAGGLER_FACTOR) + STRAGGLER_SLACK;
                         // Steady progress means a long task, which would be as long elsewhere.
@@ -96,6 +102,9 @@
         for (task, target) in stops {
             self.stop_run(task, &target, now);
         }
+        for ((task, target), number) in stopped {
+            self.close_run(task, number, &target, HowEnded::Stopped, now);
+        }
         for ((task, target), after) in stragglers {
             self.restart_straggler(task, target, after, now);
         }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,6 +6,7 @@
 pub mod job;
 pub mod ledger;
 pub mod loan;
+pub mod patience;
 pub mod plan;
 pub mod policy;
 pub mod pool;
