--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -83,12 +83,16 @@
 }
 
 interface Peer {
-  beat @0 (beat :Beat) -> (beat :Beat);
-  run @1 (work :Work, mayPass :Bool, resumed :Bool) -> (outcome :Outcome);
+  beat @0 (beat :Beat, echo :UInt64) -> (beat :Beat, token :UInt64);
+  # The caller repeats the last token as echo: what it proves is as old as that token, however long
+  # the call was on its way.
+  run @1 (work :Work, mayPass :Bool, resumed :Bool) -> (outcome :Outcome, passedTo :Text);
   # Answered when the job has ended; dropping the call cancels the job. A resumed job may have run
-  # under an earlier dispatcher of the zone.
-  snapshot @2 () -> (planVersion :UInt64, plan :Data, members :List(Member));
-  # The configuration in force, as JSON, and the VMs that the sender knows.
+  # under an earlier dispatcher of the zone. passedTo, if not empty, is the address of the dispatcher
+  # that the caller should ask instead: nothing of the job has run.
+  snapshot @2 (zone :Text) -> (planVersion :UInt64, plan :Data, members :List(Member), targets :Data);
+  # The configuration in force, the VMs that the sender knows, and the targets of a zone; configuration
+  # and targets as JSON.
   handOver @3 (epoch :UInt64, kept :List(Text)) -> (taken :Bool);
   # From a dispatcher that leaves to its successor: all targets but those kept are the successor's.
 }
--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -69,7 +69,8 @@
         // A run that was being stopped when the target was taken is not listed as running any more.
         let ended = |t: &Target| t.taken && now - t.taken_at > STOP_TIME + STOP_MARGIN;
         let all_ended = || self.targets.values().all(ended);
-        self.withheld.is_empty() && (leases_over || !self.targets.is_empty() && all_ended())
+        let looked = || self.complete && !self.targets.is_empty() && all_ended();
+        self.withheld.is_empty() && (leases_over || looked())
     }
 
     /// Admits parked submissions whose earlier runs are closed.
@@ -100,25 +101,6 @@
         }
     }
 
-    /// What became of a job that was passed to another zone.
-    pub fn passed(&mut self, key: JobKey, outcome: Outcome, now: Moment) {
-        self.check_gap(now);
-        let Some(job) = self.jobs.get_mut(&key) else { return };
-        job.passed = false;
-        match outcome {
-            Outcome::NotRun { .. } => {
-                self.enqueue(key);
-                self.fill(now);
-                self.refuse_hopeless(now);
-            }
-            Outcome::Unknown => {
-                job.sent = true;
-                self.settle(key, Outcome::Unknown);
-            }
-            outcome => self.settle(key, outcome),
-        }
-    }
-
     fn admit_or_pass(
         &mut self,
         key: JobKey,
@@ -143,7 +125,7 @@
         let zone =
             if late && origin == Origin::Caller { self.free_neighbour(cpu, now) } else { None };
         if let Some(zone) = zone {
-            return self.pass(key, job, zone, cpu);
+            return self.pass(key, zone, cpu);
         }
         let Some(end) = end else {
             return self.refuse(key, &job.work, Refusal::NoTarget, NO_TARGET_RETRY, Duration::ZERO);
@@ -180,7 +162,6 @@
             tasks: IndexMap::new(),
             waiting: VecDeque::new(),
             sent: false,
-            passed: false,
             late: false,
             scale: None,
             work,
@@ -197,16 +178,12 @@
         free.max_by_key(|(_, n)| n.free).map(|(zone, _)| zone.clone())
     }
 
-    fn pass(&mut self, key: JobKey, mut job: Job, zone: ZoneName, cpu: u64) {
-        if let Some(neighbour) = self.neighbours.get_mut(&zone) {
-            neighbour.free = neighbour.free.saturating_sub(cpu);
-        }
-        job.passed = true;
+    fn pass(&mut self, key: JobKey, zone: ZoneName, cpu: u64) {
+        let Some(neighbour) = self.neighbours.get_mut(&zone) else { return };
+        neighbour.free = neighbour.free.saturating_sub(cpu);
+        let to = neighbour.address;
         self.counts.passed += 1;
-        let work = job.work.clone();
-        self.ids.insert(work.id, key);
-        self.jobs.insert(key, job);
-        self.actions.push(Action::Pass { key, zone, work });
+        self.actions.push(Action::Pass { key, zone, to });
     }
 
     fn refuse(
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -23,6 +23,9 @@
 /// run times are off by a third.
 const OBJECTIVE_SLACK: f64 = 1.3;
 
+/// Worth of an answer after the objective, as a share of that of one in time; a fifth at the users'.
+const LATE_WORTH: f64 = 0.2;
+
 /// What is known of one task.
 #[derive(Clone, Debug, Default)]
 pub struct Task {
@@ -61,8 +64,6 @@
     pub waiting: VecDeque<TaskId>,
     /// Whether a start was ever sent, so that a refusal would be false.
     pub sent: bool,
-    /// Whether it was passed to another zone.
-    pub passed: bool,
     /// The rank under which it waits.
     pub late: bool,
     /// Logarithm of how much longer its tasks run than expected, as far as they have shown it.
@@ -90,6 +91,12 @@
         self.scale.unwrap_or_default().exp()
     }
 
+    /// Whether so much is left to do that an answer in time to another caller is worth more than
+    /// this one's late answer.
+    fn is_mostly_ahead(&self) -> bool {
+        self.waiting.len() as f64 > LATE_WORTH * self.tasks.len() as f64
+    }
+
     /// The step of a task.
     pub fn step(&self, task: TaskId) -> Option<&Step> {
         self.work.steps.get(task.step as usize)
@@ -144,6 +151,21 @@
 }
 
 impl Dispatch {
+    /// Puts jobs that have missed their latency objective behind all others.
+    pub(super) fn demote_late(&mut self, now: Moment) {
+        let waiting = self.waiting.iter().filter(|rank| !rank.late);
+        let late = waiting.filter(|rank| {
+            self.jobs.get(&rank.key).is_some_and(|job| job.objective < now && job.is_mostly_ahead())
+        });
+        for rank in late.copied().collect::<Vec<Rank>>() {
+            self.waiting.remove(&rank);
+            self.waiting.insert(Rank { late: true, ..rank });
+            if let Some(job) = self.jobs.get_mut(&rank.key) {
+                job.late = true;
+            }
+        }
+    }
+
     pub(super) fn rank(&self, key: JobKey) -> Option<Rank> {
         let job = self.jobs.get(&key)?;
         Some(Rank { late: job.late, priority: job.priority, key })
@@ -152,7 +174,7 @@
     /// Puts a job's rank in line with whether it has tasks that wait.
     pub(super) fn enqueue(&mut self, key: JobKey) {
         let Some(rank) = self.rank(key) else { return };
-        let waits = self.jobs.get(&key).is_some_and(|j| !j.waiting.is_empty() && !j.passed);
+        let waits = self.jobs.get(&key).is_some_and(|j| !j.waiting.is_empty());
         if waits {
             self.waiting.insert(rank);
         } else {
@@ -173,9 +195,6 @@
             Outcome::NotRun { .. } => self.counts.refused += 1,
             Outcome::Failed => {}
         }
-        if job.passed {
-            self.actions.push(Action::Recall(key));
-        }
         for key in [key].into_iter().chain(job.joined.iter().copied()) {
             self.actions.push(Action::Answer { key, id, outcome });
         }
@@ -190,7 +209,7 @@
     pub(super) fn settle_unfinished(&mut self, key: JobKey, reason: &'static str) {
         let Some(job) = self.jobs.get(&key) else { return };
         let id = job.work.id;
-        let outcome = if job.sent || job.passed {
+        let outcome = if job.sent {
             Outcome::Unknown
         } else {
             Outcome::NotRun { refusal: Refusal::Closed, retry_after: Duration::from_secs(1) }
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -40,9 +40,6 @@
 /// A gap between two calls of the core after which the process is taken to have been suspended:
 /// by then, leases may have run out.
 const WAKE_GAP: Duration = Duration::from_millis(650);
-/// A stop unconfirmed for this long ends the extension of the target's leases, so that the run
-/// lapses before its caller resubmits.
-const STOP_PATIENCE: Duration = Duration::from_millis(350);
 /// Weight of one run in what is known of a kind of target; some dozens run in a second.
 const KIND_WEIGHT: f64 = 0.02;
 /// Jobs that wait at most; more than a deadline's worth of work at the largest sites.
@@ -94,17 +91,15 @@
         /// What became of it.
         outcome: Outcome,
     },
-    /// Pass a job to the dispatcher of another zone; answered by [`Dispatch::passed`].
+    /// Tell the submitter to ask the dispatcher of another zone instead; nothing of the job has run.
     Pass {
         /// The submission.
         key: JobKey,
         /// The zone.
         zone: ZoneName,
-        /// The job.
-        work: Work,
+        /// Its dispatcher.
+        to: SocketAddr,
     },
-    /// Drop a job that was passed on.
-    Recall(JobKey),
     /// A new target: start asking [`Dispatch::next_hold`].
     Watch(TargetId),
     /// Another dispatcher has taken a target.
@@ -187,6 +182,8 @@
 /// What another zone offers, as its dispatcher last said.
 #[derive(Clone, Debug)]
 pub struct Neighbour {
+    /// Its dispatcher's address.
+    pub address: SocketAddr,
     /// Free processor, in thousandths of a core, less what was passed there since.
     pub free: u64,
     /// When it was heard.
@@ -266,6 +263,8 @@
     retiring: bool,
     /// Targets that a retiring predecessor keeps.
     withheld: IndexSet<TargetId>,
+    /// Whether an earlier dispatcher can't have used targets that are not listed.
+    complete: bool,
     /// Since when no other dispatcher extends leases in the zone, as far as is known.
     since: Moment,
     actions: Vec<Action>,
@@ -292,6 +291,7 @@
             open: true,
             retiring: false,
             withheld: IndexSet::new(),
+            complete: false,
             since: now,
             actions: Vec::new(),
         }
@@ -331,8 +331,8 @@
     }
 
     /// Takes in what another zone's dispatcher offers.
-    pub fn neighbour(&mut self, zone: ZoneName, free: u64, now: Moment) {
-        self.neighbours.insert(zone, Neighbour { free, heard: now });
+    pub fn neighbour(&mut self, zone: ZoneName, address: SocketAddr, free: u64, now: Moment) {
+        self.neighbours.insert(zone, Neighbour { address, free, heard: now });
     }
 
     /// Free processor for other zones, in thousandths of a core, less what waits here.
@@ -354,6 +354,7 @@
     pub fn tick(&mut self, now: Moment) {
         self.check_gap(now);
         self.expire_jobs(now);
+        self.demote_late(now);
         self.refuse_hopeless(now);
         self.check_targets(now);
         self.check_runs(now);
--- a/src/coordination/dispatch/own.rs
+++ b/src/coordination/dispatch/own.rs
@@ -8,9 +8,6 @@
 use indexmap::IndexMap;
 use std::{net::SocketAddr, time::Duration};
 
-/// A target that the list lacks is kept this long while it still answers: entries that lapsed
-/// while the list was away come back within two seconds of its return.
-const MISSING_GRACE: Duration = Duration::from_millis(2_500);
 /// A target is set aside for this long at first, then twice as long each time.
 const FIRST_PAUSE: Duration = Duration::from_millis(700);
 /// Longest time that a target is set aside.
@@ -49,14 +46,13 @@
         self.fence = self.fence.max(fence);
     }
 
-    /// Replaces the list of targets.
-    pub fn list(&mut self, list: &[TargetInfo], now: Moment) {
+    /// Replaces the list of targets; `complete` if an earlier dispatcher can't have used others.
+    pub fn list(&mut self, list: &[TargetInfo], complete: bool, now: Moment) {
         self.check_gap(now);
+        self.complete = complete;
         let known: IndexMap<&TargetId, &TargetInfo> = list.iter().map(|i| (&i.id, i)).collect();
         for target in self.targets.values_mut() {
-            if !known.contains_key(&target.info.id) && target.missing_since.is_none() {
-                target.missing_since = Some(now);
-            }
+            target.listed = known.contains_key(&target.info.id);
         }
         for info in list {
             self.upsert(info, now);
@@ -74,7 +70,6 @@
             self.actions.push(Action::Watch(info.id.clone()));
             return;
         };
-        target.missing_since = None;
         if info.life > target.info.life {
             self.reborn(&info.id, info.clone(), now);
         } else if info.life == target.info.life {
@@ -135,6 +130,7 @@
             && target.clock.is_some()
             && target.conduct.aside_until <= now
             && target.full_until <= now
+            && !target.has_unconfirmed_stop(now)
     }
 
     /// Closes runs whose lease has run out, and forgets targets that are gone.
@@ -154,9 +150,7 @@
             self.note(Note::TargetIs { target: id.clone(), state: "without leases" });
             self.close_all(&id, now);
         }
-        let gone = |t: &&Target| {
-            t.missing_since.is_some_and(|since| now - since > MISSING_GRACE) && t.runs.is_empty()
-        };
+        let gone = |t: &&Target| !t.listed && t.runs.is_empty();
         let gone: Vec<TargetId> =
             self.targets.values().filter(gone).map(|t| t.info.id.clone()).collect();
         for id in gone {
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -1,7 +1,7 @@
 //! The runs that may exist on targets: how they are stopped, closed and restarted.
 
 use super::{
-    Action, Dispatch, JobKey, LEASE, LONGEST_LEASE, Note, STOP_PATIENCE,
+    Action, Dispatch, JobKey, LEASE, LONGEST_LEASE, Note,
     replies::{STOP_MARGIN, TELLING_PERCENT},
 };
 use crate::state::{
@@ -28,11 +28,7 @@
 /// Extends the lease of what runs on a target; none while a stop there is unconfirmed.
 pub(super) fn lease(target: &mut Target, now: Moment) -> Option<TargetTime> {
     let clock = target.clock?;
-    let overdue = |run: &Run| {
-        matches!(run.state, RunState::Stopping { since, acknowledged: None, .. }
-            if now - since > STOP_PATIENCE)
-    };
-    if target.runs.values().any(overdue) {
+    if target.has_unconfirmed_stop(now) {
         return None;
     }
     let until = TargetTime(clock.at(now).0 + LEASE.as_millis() as u64);
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -2,6 +2,7 @@
 
 use super::{Node, Targets, follow};
 use crate::{
+    protocol::fleet::Handled,
     state::work::{Outcome, Refusal, Work},
     transport::{
         fleet::{Handed, Link},
@@ -9,10 +10,11 @@
     },
 };
 use std::{
-    rc::Rc,
+    net::SocketAddr,
+    rc::{Rc, Weak},
     time::{Duration, Instant},
 };
-use tokio::time::sleep;
+use tokio::{sync::OnceCell, task::spawn_local, time::sleep};
 
 /// A caller is told to come back after this long while no dispatcher is known: about the time in
 /// which one takes over.
@@ -26,6 +28,13 @@
 /// Interval of the search.
 const SEARCH_PAUSE: Duration = Duration::from_millis(15);
 
+/// A connection to a dispatcher of another zone on which jobs are passed is closed after this time
+/// without one.
+const IDLE_PASS: Duration = Duration::from_secs(2);
+
+/// A connection on which jobs are passed, made once for all that wait for it.
+pub(super) type Pass = Rc<OnceCell<Rc<Link>>>;
+
 impl<T> Node<T>
 where
     T: Targets,
@@ -33,20 +42,30 @@
     /// Runs a caller's job. Dropping the future cancels it.
     pub async fn submit(self: &Rc<Self>, work: Work) -> Outcome {
         let begun = Instant::now();
-        let mut resumed = false;
+        let mut how = Handed { may_pass: true, resumed: false };
         loop {
             let patience = work.patience.saturating_sub(begun.elapsed());
             let rest = Work { patience, ..work.clone() };
             let again = patience > SHORTEST_RESUMPTION && begun.elapsed() < LONGEST_SEARCH;
-            match self.submit_once(rest, resumed).await {
-                Ok(Outcome::NotRun { refusal: Refusal::Closed, .. }) if again => {}
-                Ok(Outcome::NotRun { .. }) if resumed => return Outcome::Unknown,
-                Ok(outcome) => return outcome,
+            match self.submit_once(&rest, how).await {
+                Ok(Handled::Passed(to)) => match self.submit_to(to, &rest).await {
+                    // Nothing has run there, so that this zone may still run it.
+                    Outcome::NotRun { .. } if patience > SHORTEST_RESUMPTION => {
+                        how.may_pass = false;
+                        continue;
+                    }
+                    outcome => return outcome,
+                },
+                Ok(Handled::Ended(Outcome::NotRun { refusal: Refusal::Closed, .. })) if again => {}
+                Ok(Handled::Ended(Outcome::NotRun { .. })) if how.resumed => {
+                    return Outcome::Unknown;
+                }
+                Ok(Handled::Ended(outcome)) => return outcome,
                 // The job may have run; only the zone's next dispatcher can tell that it does not
                 // any more.
                 Err(e) if again => {
                     log::info!("entry: job {} lost its dispatcher: {e}", work.id);
-                    resumed = true;
+                    how = Handed { may_pass: false, resumed: true };
                 }
                 Err(_) => return Outcome::Unknown,
             }
@@ -61,23 +80,65 @@
         }
     }
 
-    async fn submit_once(self: &Rc<Self>, work: Work, resumed: bool) -> Result<Outcome, RpcError> {
-        let how = Handed { may_pass: !resumed, resumed };
+    async fn submit_once(
+        self: &Rc<Self>,
+        work: &Work,
+        how: Handed,
+    ) -> Result<Handled, RpcError> {
         if self.dispatches() {
-            return Ok(self.run_here(work, how).await);
+            return Ok(self.run_here(work.clone(), how).await);
         }
         if let Some(link) = self.own_link() {
-            return link.run(&work, how).await;
+            return link.run(work, how).await;
         }
-        if resumed {
-            return Ok(Outcome::Unknown);
+        if how.resumed {
+            return Ok(Handled::Ended(Outcome::Unknown));
         }
         let Some(link) = self.other_zone().await else {
             let refusal = Refusal::NoDispatcher;
-            return Ok(Outcome::NotRun { refusal, retry_after: NO_DISPATCHER_RETRY });
+            let retry_after = NO_DISPATCHER_RETRY;
+            return Ok(Handled::Ended(Outcome::NotRun { refusal, retry_after }));
         };
-        let how = Handed { may_pass: false, resumed };
-        Ok(link.run(&work, how).await.unwrap_or(Outcome::Unknown))
+        Ok(Handled::Ended(run_passed(&link, work).await))
+    }
+
+    /// Has the dispatcher of another zone run a job, which this zone's has passed on.
+    async fn submit_to(self: &Rc<Self>, to: SocketAddr, work: &Work) -> Outcome {
+        match self.pass_link(to).await {
+            Ok(link) => run_passed(&link, work).await,
+            Err(e) => {
+                log::info!("entry: job {} not passed to {to}: {e}", work.id);
+                Outcome::NotRun { refusal: Refusal::NoDispatcher, retry_after: NO_DISPATCHER_RETRY }
+            }
+        }
+    }
+
+    /// A connection to a dispatcher of another zone, kept while it is used.
+    async fn pass_link(self: &Rc<Self>, to: SocketAddr) -> Result<Rc<Link>, RpcError> {
+        let known = self.passes.borrow().get(&to).cloned();
+        let usable = known.filter(|pass| pass.get().is_none_or(|link| !link.is_closed()));
+        let pass = usable.unwrap_or_default();
+        self.passes.borrow_mut().insert(to, Rc::clone(&pass));
+        let link = pass.get_or_try_init(|| async {
+            let link = Link::connect(self, to, follow::BEAT).await?;
+            spawn_local(Rc::clone(self).drop_idle(to, Rc::downgrade(&link)));
+            Ok(link)
+        });
+        link.await.cloned()
+    }
+
+    /// Closes a connection that has served no job for a while.
+    async fn drop_idle(self: Rc<Self>, to: SocketAddr, link: Weak<Link>) {
+        loop {
+            sleep(IDLE_PASS).await;
+            let Some(link) = link.upgrade() else { return };
+            // One count is this function's, one that of the map.
+            if link.is_closed() || Rc::strong_count(&link) <= 2 {
+                let ours = |pass: &Pass| pass.get().is_some_and(|known| Rc::ptr_eq(known, &link));
+                self.passes.borrow_mut().retain(|at, pass| *at != to || !ours(pass));
+                return;
+            }
+        }
     }
 
     /// A connection to the dispatcher of any other zone.
@@ -100,3 +161,19 @@
         None
     }
 }
+
+/// Has another zone's dispatcher run a job, which it may refuse but not pass on.
+async fn run_passed(link: &Link, work: &Work) -> Outcome {
+    let how = Handed { may_pass: false, resumed: false };
+    match link.run(work, how).await {
+        Ok(Handled::Ended(outcome)) => outcome,
+        Ok(Handled::Passed(to)) => {
+            log::error!("entry: job {} passed on to {to} against its terms", work.id);
+            Outcome::NotRun { refusal: Refusal::Closed, retry_after: NO_DISPATCHER_RETRY }
+        }
+        Err(e) => {
+            log::info!("entry: job {} lost the dispatcher it was passed to: {e}", work.id);
+            Outcome::Unknown
+        }
+    }
+}
--- a/src/fleet/follow.rs
+++ b/src/fleet/follow.rs
@@ -23,11 +23,11 @@
 /// Interval of beats by which dispatchers tell the other VMs of their zone.
 pub const SLOW_BEAT: Duration = Duration::from_millis(1_000);
 /// Longest time in which VMs answer that are alive.
-const ROUND: Duration = Duration::from_millis(220);
+const ROUND: Duration = Duration::from_millis(120);
 /// Pause between two rounds.
-const PAUSE: Duration = Duration::from_millis(60);
+const PAUSE: Duration = Duration::from_millis(30);
 /// A VM that has just started lets others speak first.
-const START_GRACE: Duration = Duration::from_millis(300);
+const START_GRACE: Duration = Duration::from_millis(120);
 /// A VM that reaches no other takes over only after this long: more likely it is cut off, and the
 /// others go on.
 const ALONE_GRACE: Duration = Duration::from_millis(2_500);
@@ -144,6 +144,9 @@
         if self.plan().is_none() || self.is_leaving() || self.started.elapsed() < START_GRACE {
             return false;
         }
+        if self.zone_targets().is_empty() && lost.elapsed() < ALONE_GRACE {
+            return false;
+        }
         let beats: Vec<Beat> = links.iter().filter_map(|link| link.last()).collect();
         let stronger = beats.iter().filter(|b| !b.leaving);
         let outranked = stronger.into_iter().any(|b| rank(&b.from) < rank(&self.me));
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,12 +17,13 @@
         own::Hold,
         replies::{HoldError, StartReply, StopReply},
     },
-    protocol::fleet::{Beat, Peer, Snapshot, ZoneDispatcher},
+    protocol::fleet::{Beat, Handled, Peer, Snapshot, ZoneDispatcher},
     state::{
         id::{ConfigVersion, VmName, ZoneName},
         plan::Plan,
+        roster::Roster,
         target::{Report, TargetId, TargetInfo, TargetTime},
-        work::{Outcome, Work},
+        work::Work,
     },
     transport::fleet::{Handed, Host, Link},
 };
@@ -38,7 +39,7 @@
     sync::Arc,
     time::Instant,
 };
-use tokio::task::spawn_local;
+use tokio::{sync::Notify, task::spawn_local};
 
 /// The calls to targets.
 pub trait Targets: 'static {
@@ -62,10 +63,13 @@
     clock: Clock,
     plan: RefCell<Option<Arc<Plan>>>,
     peers: RefCell<IndexMap<VmName, Peer>>,
-    targets: RefCell<Vec<TargetInfo>>,
+    roster: RefCell<Roster>,
+    list_wanted: Notify,
     dispatching: RefCell<Option<Dispatching>>,
     own: RefCell<Option<Rc<Link>>>,
     others: RefCell<IndexMap<ZoneName, Rc<Link>>>,
+    /// Connections to dispatchers that jobs were passed to.
+    passes: RefCell<IndexMap<SocketAddr, entry::Pass>>,
     hints: RefCell<IndexMap<ZoneName, SocketAddr>>,
     epoch_seen: Cell<u64>,
     leaving: Cell<bool>,
@@ -86,10 +90,12 @@
             clock: Clock::new(),
             plan: RefCell::default(),
             peers: RefCell::default(),
-            targets: RefCell::default(),
+            roster: RefCell::default(),
+            list_wanted: Notify::new(),
             dispatching: RefCell::default(),
             own: RefCell::default(),
             others: RefCell::default(),
+            passes: RefCell::default(),
             hints: RefCell::default(),
             epoch_seen: Cell::new(0),
             leaving: Cell::new(false),
@@ -153,15 +159,32 @@
         }
     }
 
-    /// Takes in the targets that the platform lists.
-    pub fn set_targets(self: &Rc<Self>, list: Vec<TargetInfo>) {
-        *self.targets.borrow_mut() = list;
-        self.list_targets();
+    /// The platform's list of targets was read; `None` if it is as at the last read.
+    pub fn list_read(self: &Rc<Self>, list: Option<Vec<TargetInfo>>) {
+        let now = self.clock.now();
+        let changed = self.roster.borrow_mut().read(list, now);
+        if changed || self.dispatches() {
+            self.list_targets();
+        }
+    }
+
+    /// The platform's list of targets could not be read.
+    pub fn list_failed(&self) {
+        self.roster.borrow_mut().failed();
+    }
+
+    /// Ends when the list of targets should be read at once.
+    pub async fn list_wanted(&self) {
+        self.list_wanted.notified().await;
+    }
+
+    fn targets_of(&self, zone: &ZoneName) -> Vec<TargetInfo> {
+        let roster = self.roster.borrow();
+        roster.targets().filter(|t| t.zone == *zone).cloned().collect()
     }
 
     fn zone_targets(&self) -> Vec<TargetInfo> {
-        let targets = self.targets.borrow();
-        targets.iter().filter(|t| t.zone == self.me.zone).cloned().collect()
+        self.targets_of(&self.me.zone)
     }
 
     /// VMs of this zone but this one, the strongest first.
@@ -230,8 +253,10 @@
         from: SocketAddr,
     ) -> Result<(), crate::transport::rpc::RpcError> {
         let link = Link::connect(self, from, follow::SLOW_BEAT).await?;
-        let snapshot = link.snapshot().await?;
+        let zone = self.zone_targets().is_empty().then_some(&self.me.zone);
+        let snapshot = link.snapshot(zone).await?;
         self.set_peers(snapshot.peers);
+        self.learn_targets(&snapshot.targets, from);
         if snapshot.version > self.plan_version() {
             match serde_json::from_slice::<Plan>(&snapshot.plan) {
                 Ok(plan) => self.configure(plan, "a peer"),
@@ -240,6 +265,21 @@
         }
         Ok(())
     }
+
+    fn learn_targets(self: &Rc<Self>, encoded: &[u8], from: SocketAddr) {
+        if encoded.is_empty() {
+            return;
+        }
+        match serde_json::from_slice::<Vec<TargetInfo>>(encoded) {
+            Ok(list) => {
+                log::info!("targets: {} known from the VM at {from}", list.len());
+                if self.roster.borrow_mut().learn(list) {
+                    self.list_targets();
+                }
+            }
+            Err(e) => log::warn!("targets: list from {from}: {e}"),
+        }
+    }
 }
 
 impl<T> Host for Node<T>
@@ -286,7 +326,7 @@
         }
     }
 
-    async fn run(self: &Rc<Self>, work: Work, how: Handed) -> Outcome {
+    async fn run(self: &Rc<Self>, work: Work, how: Handed) -> Handled {
         self.run_here(work, how).await
     }
 
@@ -294,7 +334,12 @@
         self.succeed(epoch, kept)
     }
 
-    fn snapshot(&self) -> Snapshot {
+    fn snapshot(&self, zone: Option<ZoneName>) -> Snapshot {
+        let targets = zone.map(|zone| serde_json::to_vec(&self.targets_of(&zone)));
+        let targets = targets.transpose().unwrap_or_else(|e| {
+            log::error!("targets: not encoded: {e}");
+            None
+        });
         let plan = self.plan.borrow();
         let mut peers: Vec<Peer> = self.peers.borrow().values().cloned().collect();
         peers.push(self.me.clone());
@@ -307,6 +352,6 @@
             }
             None => (ConfigVersion(0), Vec::new()),
         };
-        Snapshot { version, plan, peers }
+        Snapshot { version, plan, peers, targets: targets.unwrap_or_default() }
     }
 }
--- a/src/fleet/own.rs
+++ b/src/fleet/own.rs
@@ -3,9 +3,8 @@
 use super::{Node, Targets};
 use crate::{
     coordination::dispatch::{Action, Dispatch, JobKey, Order, replies::HoldError},
-    protocol::fleet::Beat,
+    protocol::fleet::{Beat, Handled},
     state::{
-        id::ZoneName,
         target::{Fence, TargetId, TargetTime},
         time::Moment,
         work::{Outcome, Refusal, Work},
@@ -22,7 +21,7 @@
 };
 use tokio::{
     sync::oneshot,
-    task::{AbortHandle, spawn_local},
+    task::spawn_local,
     time::sleep,
 };
 
@@ -58,8 +57,7 @@
     pub told: Instant,
     since: Moment,
     raised: Moment,
-    waiters: IndexMap<JobKey, oneshot::Sender<Outcome>>,
-    passes: IndexMap<JobKey, AbortHandle>,
+    waiters: IndexMap<JobKey, oneshot::Sender<Handled>>,
     watched: IndexSet<TargetId>,
 }
 
@@ -109,6 +107,7 @@
         core.withhold(kept, now);
         log::info!("dispatch: this VM dispatches {} from now on, epoch {epoch}", self.me.zone);
         *self.own.borrow_mut() = None;
+        self.list_wanted.notify_one();
         *self.dispatching.borrow_mut() = Some(Dispatching {
             core,
             epoch,
@@ -118,7 +117,6 @@
             since: now,
             raised: now,
             waiters: IndexMap::new(),
-            passes: IndexMap::new(),
             watched: IndexSet::new(),
         });
         self.list_targets();
@@ -138,12 +136,9 @@
         for action in old.core.drain() {
             let Action::Answer { key, outcome, .. } = action else { continue };
             if let Some(waiter) = old.waiters.swap_remove(&key) {
-                let _ = waiter.send(outcome);
+                let _ = waiter.send(Handled::Ended(outcome));
             }
         }
-        for pass in old.passes.values() {
-            pass.abort();
-        }
     }
 
     /// Takes in that another VM says it is this zone's dispatcher.
@@ -161,13 +156,15 @@
     pub(super) fn neighbour(&self, beat: &Beat) {
         let now = self.clock.now();
         if let Some(d) = &mut *self.dispatching.borrow_mut() {
-            d.core.neighbour(beat.from.zone.clone(), beat.spare, now);
+            d.core.neighbour(beat.from.zone.clone(), beat.from.address, beat.spare, now);
         }
     }
 
     pub(super) fn list_targets(self: &Rc<Self>) {
         let list = self.zone_targets();
-        self.decide(|core, now| core.list(&list, now));
+        let since = self.dispatching.borrow().as_ref().map(|d| d.since);
+        let complete = since.is_some_and(|since| self.roster.borrow().is_complete(since));
+        self.decide(|core, now| core.list(&list, complete, now));
     }
 
     /// Has the core decide something, and does what it says. False if this VM doesn't dispatch.
@@ -205,15 +202,8 @@
             Action::Stop(order) => {
                 spawn_local(Rc::clone(self).stop(epoch, order));
             }
-            Action::Answer { key, outcome, .. } => self.answer(key, outcome),
-            Action::Pass { key, zone, work } => self.pass(epoch, key, zone, work),
-            Action::Recall(key) => {
-                let pass =
-                    self.dispatching.borrow_mut().as_mut().map(|d| d.passes.swap_remove(&key));
-                if let Some(Some(pass)) = pass {
-                    pass.abort();
-                }
-            }
+            Action::Answer { key, outcome, .. } => self.answer(key, Handled::Ended(outcome)),
+            Action::Pass { key, to, .. } => self.answer(key, Handled::Passed(to)),
             Action::Watch(id) => {
                 let fresh = match &mut *self.dispatching.borrow_mut() {
                     Some(d) => d.watched.insert(id.clone()),
@@ -228,11 +218,11 @@
         }
     }
 
-    fn answer(&self, key: JobKey, outcome: Outcome) {
+    fn answer(&self, key: JobKey, handled: Handled) {
         let mut dispatching = self.dispatching.borrow_mut();
         let waiter = dispatching.as_mut().and_then(|d| d.waiters.swap_remove(&key));
         if let Some(waiter) = waiter {
-            let _ = waiter.send(outcome);
+            let _ = waiter.send(handled);
         }
     }
 
@@ -299,29 +289,8 @@
         }
     }
 
-    fn pass(self: &Rc<Self>, epoch: u64, key: JobKey, zone: ZoneName, work: Work) {
-        let link = self.others.borrow().get(&zone).cloned();
-        let node = Rc::clone(self);
-        let task = spawn_local(async move {
-            let outcome = match link {
-                Some(link) if !link.is_closed() => {
-                    let how = Handed { may_pass: false, resumed: false };
-                    link.run(&work, how).await.unwrap_or(Outcome::Unknown)
-                }
-                _ => Outcome::NotRun {
-                    refusal: Refusal::NoDispatcher,
-                    retry_after: Duration::from_millis(500),
-                },
-            };
-            node.decide_in(epoch, |core, now| core.passed(key, outcome, now));
-        });
-        if let Some(d) = &mut *self.dispatching.borrow_mut() {
-            d.passes.insert(key, task.abort_handle());
-        }
-    }
-
     /// Runs a job on this zone's targets.
-    pub(super) async fn run_here(self: &Rc<Self>, work: Work, how: Handed) -> Outcome {
+    pub(super) async fn run_here(self: &Rc<Self>, work: Work, how: Handed) -> Handled {
         let closed =
             Outcome::NotRun { refusal: Refusal::Closed, retry_after: Duration::from_millis(500) };
         let (tx, rx) = oneshot::channel();
@@ -334,11 +303,11 @@
                 (d.epoch, key, d.core.drain())
             })
         };
-        let Some((epoch, key, actions)) = submitted else { return closed };
+        let Some((epoch, key, actions)) = submitted else { return Handled::Ended(closed) };
         let _guard = Guard { node: Rc::clone(self), key, epoch };
         for action in actions {
             self.act(epoch, action);
         }
-        rx.await.unwrap_or(Outcome::Unknown)
+        rx.await.unwrap_or(Handled::Ended(Outcome::Unknown))
     }
 }
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -28,6 +28,15 @@
     pub incarnation: Incarnation,
 }
 
+/// What a VM did with a job that was handed to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Handled {
+    /// The job has ended, or will not run.
+    Ended(Outcome),
+    /// Nothing of it has run; the dispatcher at this address should be asked instead.
+    Passed(SocketAddr),
+}
+
 /// A zone's dispatcher.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ZoneDispatcher {
@@ -72,6 +81,29 @@
     pub plan: Vec<u8>,
     /// VMs.
     pub peers: Vec<Peer>,
+    /// Targets, as JSON.
+    pub targets: Vec<u8>,
+}
+
+/// Reads what became of a job.
+///
+/// # Errors
+///
+/// A [`WireError`].
+pub fn read_handled(r: wire::peer::run_results::Reader<'_>) -> Result<Handled, WireError> {
+    let passed_to = r.get_passed_to()?;
+    if passed_to.is_empty() {
+        return Ok(Handled::Ended(read_outcome(r.get_outcome()?)?));
+    }
+    Ok(Handled::Passed(address(passed_to)?))
+}
+
+/// Writes what became of a job.
+pub fn write_handled(handled: Handled, mut b: wire::peer::run_results::Builder<'_>) {
+    match handled {
+        Handled::Ended(outcome) => write_outcome(outcome, b.init_outcome()),
+        Handled::Passed(to) => b.set_passed_to(to.to_string().as_str()),
+    }
 }
 
 fn text(t: capnp::text::Reader<'_>) -> Result<&str, WireError> {
@@ -234,7 +266,7 @@
 /// # Errors
 ///
 /// A [`WireError`].
-pub fn read_outcome(r: wire::outcome::Reader<'_>) -> Result<Outcome, WireError> {
+fn read_outcome(r: wire::outcome::Reader<'_>) -> Result<Outcome, WireError> {
     let refusal = r.get_refusal().map_err(capnp::Error::from)?;
     let refusal = REFUSALS.iter().find(|(_, wire)| *wire == refusal);
     Ok(match r.get_verdict().map_err(capnp::Error::from)? {
@@ -249,7 +281,7 @@
 }
 
 /// Writes an outcome.
-pub fn write_outcome(outcome: Outcome, mut b: wire::outcome::Builder<'_>) {
+fn write_outcome(outcome: Outcome, mut b: wire::outcome::Builder<'_>) {
     b.set_verdict(match outcome {
         Outcome::Completed => wire::Verdict::Completed,
         Outcome::Failed => wire::Verdict::Failed,
--- a/src/protocol/fleet_capnp.rs
+++ b/src/protocol/fleet_capnp.rs
@@ -2672,11 +2672,15 @@
             pub fn has_beat(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_echo(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2742,6 +2746,14 @@
             pub fn has_beat(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_echo(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_echo(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2756,31 +2768,38 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(204, 59, 29, 109, 192, 221, 60, 162),
-                ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
                 ::capnp::word(46, 98, 101, 97, 116, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(34, 56, 224, 208, 143, 112, 106, 164),
@@ -2789,10 +2808,19 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 99, 104, 111, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::fleet_capnp::beat::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2806,9 +2834,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xa23c_ddc0_6d1d_3bcc;
         }
     }
@@ -2882,11 +2910,15 @@
             pub fn has_beat(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_token(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2952,6 +2984,14 @@
             pub fn has_beat(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_token(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_token(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2966,31 +3006,38 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(239, 93, 95, 142, 137, 10, 195, 159),
-                ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
                 ::capnp::word(46, 98, 101, 97, 116, 36, 82, 101),
                 ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(34, 56, 224, 208, 143, 112, 106, 164),
@@ -2999,10 +3046,19 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 111, 107, 101, 110, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::fleet_capnp::beat::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3016,9 +3072,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0x9fc3_0a89_8e5f_5def;
         }
     }
@@ -3358,11 +3414,19 @@
             pub fn has_outcome(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_passed_to(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_passed_to(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3428,6 +3492,22 @@
             pub fn has_outcome(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_passed_to(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_passed_to(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_passed_to(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_passed_to(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3442,31 +3522,38 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(154, 250, 221, 148, 5, 182, 237, 164),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
                 ::capnp::word(46, 114, 117, 110, 36, 82, 101, 115),
                 ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(111, 117, 116, 99, 111, 109, 101, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(37, 54, 23, 90, 119, 129, 132, 129),
@@ -3475,10 +3562,20 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 97, 115, 115, 101, 100, 84, 111),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::fleet_capnp::outcome::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3492,9 +3589,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xa4ed_b605_94dd_fa9a;
         }
     }
@@ -3552,7 +3649,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -3560,11 +3657,19 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_zone(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3614,6 +3719,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_zone(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_zone(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_zone(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_zone(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3625,17 +3746,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(99, 167, 105, 112, 5, 237, 48, 197),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -3643,9 +3764,28 @@
                 ::capnp::word(46, 115, 110, 97, 112, 115, 104, 111),
                 ::capnp::word(116, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(122, 111, 110, 101, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -3657,9 +3797,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xc530_ed05_7069_a763;
         }
     }
@@ -3745,11 +3885,19 @@
             pub fn has_members(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_targets(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_targets(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3839,6 +3987,22 @@
             pub fn has_members(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_targets(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_targets(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(2).set_data(value);
+            }
+            #[inline]
+            pub fn init_targets(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(2).init_data(size)
+            }
+            #[inline]
+            pub fn has_targets(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3850,17 +4014,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 68] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(238, 101, 124, 11, 69, 230, 37, 220),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
@@ -3868,28 +4032,35 @@
                 ::capnp::word(46, 115, 110, 97, 112, 115, 104, 111),
                 ::capnp::word(116, 36, 82, 101, 115, 117, 108, 116),
                 ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(112, 108, 97, 110, 86, 101, 114, 115),
                 ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -3919,12 +4090,21 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 97, 114, 103, 101, 116, 115, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::struct_list::Owned<crate::fleet_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3938,9 +4118,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3];
             pub(crate) const TYPE_ID: u64 = 0xdc25_e645_0b7c_65ee;
         }
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -12,6 +12,7 @@
 pub mod pool;
 pub mod queue;
 pub mod resources;
+pub mod roster;
 pub mod speed;
 pub mod target;
 pub mod time;
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -9,15 +9,25 @@
 };
 use derive_more::{Display, From};
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+/// A stop unconfirmed for this long ends the extension of the target's leases, so that the run
+/// lapses soon if no stop arrives; twice the usual wait for an answer.
+const STOP_PATIENCE: Duration = Duration::from_millis(60);
+
 /// The name of a target.
-#[derive(Clone, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[from(&str, String)]
 pub struct TargetId(pub Arc<str>);
 
 /// An incarnation of a target: the time of its start, as it says.
-#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
+    Deserialize,
+)]
 pub struct Life(pub u64);
 
 /// A fencing token: a target carries out nothing for a lower one than it has seen.
@@ -29,7 +39,7 @@
 pub struct TargetTime(pub u64);
 
 /// Where a target is and what it has.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetInfo {
     /// Its name.
     pub id: TargetId,
@@ -216,8 +226,8 @@
     pub observed: u32,
     /// It refused a task for want of room; no further ones before this moment.
     pub full_until: Moment,
-    /// Since when the list lacks it.
-    pub missing_since: Option<Moment>,
+    /// Whether the list names it.
+    pub listed: bool,
 }
 
 impl Target {
@@ -239,7 +249,7 @@
             slowness: 1.0,
             observed: 0,
             full_until: Moment::ZERO,
-            missing_since: None,
+            listed: true,
         }
     }
 
@@ -248,6 +258,15 @@
         self.info.capacity.minus(self.used)
     }
 
+    /// Whether a stop was sent that is still not confirmed after a usual answer's time.
+    pub fn has_unconfirmed_stop(&self, now: Moment) -> bool {
+        let unconfirmed = |run: &Run| {
+            matches!(run.state, RunState::Stopping { since, acknowledged: None, .. }
+                if now - since > STOP_PATIENCE)
+        };
+        self.runs.values().any(unconfirmed)
+    }
+
     /// Adds a run.
     pub fn add(&mut self, task: TaskId, run: Run) {
         self.used += run.needs;
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -8,11 +8,11 @@
 use crate::{
     fleet_capnp::peer,
     protocol::fleet::{
-        Beat, Snapshot, read_beat, read_outcome, read_peer, read_work, write_beat, write_outcome,
-        write_peer, write_work,
+        Beat, Handled, Snapshot, read_beat, read_handled, read_peer, read_work, write_beat,
+        write_handled, write_peer, write_work,
     },
     state::{
-        id::ConfigVersion,
+        id::{ConfigVersion, ZoneName},
         target::TargetId,
         work::{Outcome, Work},
     },
@@ -57,22 +57,24 @@
     /// Takes in what a peer said of itself.
     fn heard(self: &Rc<Self>, beat: Beat);
     /// Runs a job.
-    fn run(self: &Rc<Self>, work: Work, how: Handed) -> impl Future<Output = Outcome>;
+    fn run(self: &Rc<Self>, work: Work, how: Handed) -> impl Future<Output = Handled>;
     /// Succeeds the dispatcher with this epoch on all targets but those it keeps; false if it won't.
     fn take_over(self: &Rc<Self>, epoch: u64, kept: Vec<TargetId>) -> bool;
-    /// What it knows.
-    fn snapshot(&self) -> Snapshot;
+    /// What it knows, and the targets of a zone.
+    fn snapshot(&self, zone: Option<ZoneName>) -> Snapshot;
 }
 
 struct Served<H> {
     host: Rc<H>,
-    last_beat: Cell<Instant>,
+    since: Instant,
+    /// The latest moment at which the other side surely lived, after `since`.
+    alive: Cell<Duration>,
 }
 
 impl<H> Served<H> {
     async fn silence(&self) {
         loop {
-            let quiet = self.last_beat.get().elapsed();
+            let quiet = self.since.elapsed() - self.alive.get();
             if quiet >= SILENCE {
                 return;
             }
@@ -90,10 +92,14 @@
         params: peer::BeatParams,
         mut results: peer::BeatResults,
     ) -> Result<(), capnp::Error> {
-        self.last_beat.set(Instant::now());
-        let beat = read_beat(params.get()?.get_beat()?)?;
-        self.host.heard(beat);
-        write_beat(&self.host.beat(), results.get().init_beat());
+        // A beat may have been on its way for long, but it was sent after the token that it repeats.
+        let params = params.get()?;
+        let proved = Duration::from_millis(params.get_echo());
+        self.alive.set(self.alive.get().max(proved.min(self.since.elapsed())));
+        self.host.heard(read_beat(params.get_beat()?)?);
+        let mut results = results.get();
+        results.set_token(self.since.elapsed().as_millis() as u64);
+        write_beat(&self.host.beat(), results.init_beat());
         Ok(())
     }
 
@@ -102,15 +108,14 @@
         params: peer::RunParams,
         mut results: peer::RunResults,
     ) -> Result<(), capnp::Error> {
-        self.last_beat.set(Instant::now());
         let may_pass = params.get()?.get_may_pass();
         let how = Handed { may_pass, resumed: params.get()?.get_resumed() };
         let work = read_work(params.get()?.get_work()?)?;
-        let outcome = tokio::select! {
-            outcome = self.host.run(work, how) => outcome,
-            () = self.silence() => Outcome::Unknown,
+        let handled = tokio::select! {
+            handled = self.host.run(work, how) => handled,
+            () = self.silence() => Handled::Ended(Outcome::Unknown),
         };
-        write_outcome(outcome, results.get().init_outcome());
+        write_handled(handled, results.get());
         Ok(())
     }
 
@@ -131,13 +136,15 @@
 
     async fn snapshot(
         self: Rc<Self>,
-        _: peer::SnapshotParams,
+        params: peer::SnapshotParams,
         mut results: peer::SnapshotResults,
     ) -> Result<(), capnp::Error> {
-        let snapshot = self.host.snapshot();
+        let zone = params.get()?.get_zone()?.to_str()?;
+        let snapshot = self.host.snapshot(zone.parse().ok());
         let mut results = results.get();
         results.set_plan_version(snapshot.version.0);
         results.set_plan(&snapshot.plan);
+        results.set_targets(&snapshot.targets);
         let mut peers = results.init_members(snapshot.peers.len() as u32);
         for (n, peer) in snapshot.peers.iter().enumerate() {
             write_peer(peer, peers.reborrow().get(n as u32));
@@ -153,7 +160,7 @@
 {
     let make = || -> peer::Client {
         let host = Rc::clone(&host);
-        capnp_rpc::new_client(Served { host, last_beat: Cell::new(Instant::now()) })
+        capnp_rpc::new_client(Served { host, since: Instant::now(), alive: Cell::default() })
     };
     serve_each(listener, make).await;
 }
@@ -164,6 +171,8 @@
     pub address: SocketAddr,
     client: peer::Client,
     last: RefCell<Option<Beat>>,
+    /// The last token that the peer sent.
+    token: Cell<u64>,
     closed: Cell<bool>,
     closing: Notify,
 }
@@ -187,6 +196,7 @@
             address,
             client,
             last: RefCell::default(),
+            token: Cell::new(0),
             closed: Cell::new(false),
             closing: Notify::new(),
         });
@@ -222,10 +232,13 @@
         H: Host,
     {
         let mut req = self.client.beat_request();
+        req.get().set_echo(self.token.get());
         write_beat(&host.beat(), req.get().init_beat());
         let res = timeout(BEAT_TIMEOUT, req.send().promise);
         let res = res.await.map_err(|_| RpcError::Timeout)??;
-        let beat = read_beat(res.get()?.get_beat()?)?;
+        let res = res.get()?;
+        self.token.set(res.get_token());
+        let beat = read_beat(res.get_beat()?)?;
         host.heard(beat.clone());
         *self.last.borrow_mut() = Some(beat);
         Ok(())
@@ -236,14 +249,14 @@
     /// # Errors
     ///
     /// [`RpcError`] if the connection was given up: what became of the job is unknown.
-    pub async fn run(&self, work: &Work, how: Handed) -> Result<Outcome, RpcError> {
+    pub async fn run(&self, work: &Work, how: Handed) -> Result<Handled, RpcError> {
         let mut req = self.client.run_request();
         req.get().set_may_pass(how.may_pass);
         req.get().set_resumed(how.resumed);
         write_work(work, req.get().init_work());
         let answer = async {
             let res = req.send().promise.await?;
-            Ok::<_, RpcError>(read_outcome(res.get()?.get_outcome()?)?)
+            Ok::<_, RpcError>(read_handled(res.get()?)?)
         };
         tokio::select! {
             answer = answer => answer.inspect_err(|e| {
@@ -272,13 +285,15 @@
         Ok(res.await.map_err(|_| RpcError::Timeout)??.get()?.get_taken())
     }
 
-    /// What the peer knows.
+    /// What the peer knows, with the targets of a zone.
     ///
     /// # Errors
     ///
     /// An [`RpcError`].
-    pub async fn snapshot(&self) -> Result<Snapshot, RpcError> {
-        let call = self.client.snapshot_request().send().promise;
+    pub async fn snapshot(&self, zone: Option<&ZoneName>) -> Result<Snapshot, RpcError> {
+        let mut req = self.client.snapshot_request();
+        req.get().set_zone(zone.map_or("", |zone| zone.as_str()));
+        let call = req.send().promise;
         let res = timeout(SNAPSHOT_TIMEOUT, call).await.map_err(|_| RpcError::Timeout)??;
         let res = res.get()?;
         let peers = res.get_members()?.iter().map(read_peer).collect::<Result<_, _>>()?;
@@ -286,6 +301,7 @@
             version: ConfigVersion(res.get_plan_version()),
             plan: res.get_plan()?.to_vec(),
             peers,
+            targets: res.get_targets()?.to_vec(),
         })
     }
 }
--- a/tests/dispatch/ownership.rs
+++ b/tests/dispatch/ownership.rs
@@ -60,6 +60,40 @@
     assert_eq!(world.outcome(key), Some(Outcome::Completed));
 }
 
+/// Seen on an unlisted day: the store's entries had lapsed when a VM started, so that it took over
+/// with a part of the targets and started a job again that still ran on another.
+#[test]
+fn resumed_job_waits_for_leases_where_the_list_may_lack_targets() {
+    let mut world = World::new(2);
+    world.complete = false;
+    world.announce();
+    let key = world.submit_as(work(7, URGENT, 1, ms(60)), false, true);
+    world.run(ms(900));
+    assert_eq!((world.starts(), world.outcome(key)), (0, None));
+    world.run(ms(300));
+    assert_eq!(world.outcome(key), Some(Outcome::Completed));
+}
+
+/// A stop that no answer confirms: the target gets no further work, its leases run out, and the task
+/// runs again only then.
+#[test]
+fn unconfirmed_stop_ends_by_the_lease() {
+    let mut world = World::new(1).started();
+    let key = world.submit(work(1, LONG, 1, ms(1_400)));
+    world.run(ms(50));
+    world.target(0).mood = Mood::LosesStops;
+    world.dispatch.cancel(key, world.now);
+    world.act();
+    let again = world.submit(work(1, LONG, 1, ms(100)));
+    let other = world.submit(work(2, URGENT, 1, ms(60)));
+    world.run(ms(300));
+    assert_eq!(world.starts(), 2, "the second job started before the stop was overdue");
+    world.run(ms(1_200));
+    assert_eq!(world.doubles, []);
+    assert_eq!(world.outcome(other), Some(Outcome::Completed));
+    assert_eq!(world.outcome(again), Some(Outcome::Completed));
+}
+
 #[test]
 fn draining_target_gets_no_start() {
     let mut world = World::new(2).started();
--- /dev/null
+++ b/tests/roster.rs
@@ -0,0 +1,88 @@
+//! Which targets are known, and whether others may exist.
+
+use cranberrytray::state::{
+    id::ZoneName,
+    plan::{Label, PoolName},
+    resources::Resources,
+    roster::Roster,
+    target::{Life, TargetId, TargetInfo},
+    time::Moment,
+};
+use std::{net::SocketAddr, time::Duration};
+
+fn at(ms: u64) -> Moment {
+    Moment::new(Duration::from_millis(ms))
+}
+
+fn target(n: u16) -> TargetInfo {
+    let zone: ZoneName = "zone".parse().unwrap();
+    TargetInfo {
+        id: TargetId::from(format!("t{n}")),
+        life: Life(1),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + n)),
+        pool: PoolName::from("pool"),
+        zone,
+        capacity: Resources::default(),
+        kind: Label::from("a"),
+        labels: vec![Label::from("a")],
+        draining: false,
+    }
+}
+
+fn known(roster: &Roster) -> usize {
+    roster.targets().count()
+}
+
+/// Entries lapse while the store is away and come back within two seconds of its return.
+#[test]
+fn read_keeps_lapsed_entries_for_a_while() {
+    let mut roster = Roster::default();
+    roster.read(Some(vec![target(1), target(2)]), at(1_000));
+    assert!(roster.read(Some(vec![target(1)]), at(5_000)));
+    assert_eq!(known(&roster), 2);
+    roster.read(None, at(7_400));
+    assert_eq!(known(&roster), 2);
+    assert!(roster.read(None, at(7_600)));
+    assert_eq!(known(&roster), 1);
+}
+
+#[test]
+fn read_takes_back_an_entry_that_returns() {
+    let mut roster = Roster::default();
+    roster.read(Some(vec![target(1)]), at(1_000));
+    roster.read(Some(vec![]), at(2_000));
+    roster.read(Some(vec![target(1)]), at(3_000));
+    roster.read(None, at(9_000));
+    assert_eq!(known(&roster), 1);
+}
+
+#[test]
+fn learn_adds_only_unknown_targets() {
+    let mut roster = Roster::default();
+    roster.read(Some(vec![target(1)]), at(1_000));
+    let stale = TargetInfo { draining: true, ..target(1) };
+    assert!(roster.learn(vec![stale, target(2)]));
+    assert!(roster.targets().all(|t| !t.draining));
+    assert_eq!(known(&roster), 2);
+    assert!(!roster.learn(vec![target(2)]));
+}
+
+#[test]
+fn is_complete_after_a_read_and_a_readable_while() {
+    let mut roster = Roster::default();
+    assert!(!roster.is_complete(at(0)));
+    roster.read(Some(vec![target(1)]), at(1_000));
+    assert!(!roster.is_complete(at(900)));
+    roster.read(None, at(4_000));
+    assert!(roster.is_complete(at(3_900)));
+    assert!(!roster.is_complete(at(4_100)));
+}
+
+#[test]
+fn is_complete_not_after_a_failed_read() {
+    let mut roster = Roster::default();
+    roster.read(Some(vec![target(1)]), at(1_000));
+    roster.failed();
+    roster.read(None, at(4_000));
+    assert!(!roster.is_complete(at(3_900)));
+}
