A stopping VM refuses at once what it can't end before its exit

Ruled out: idle connections (closed 2.3 s after SIGTERM). Change: a caller's patience counts until the process ends at most, so that the dispatcher refuses the job at once or gives it up in time.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -25,6 +25,8 @@
 const SHORTEST_RESUMPTION: Duration = Duration::from_millis(100);
 /// Longest time that a job looks for the next dispatcher of its zone, about that of a takeover.
 const LONGEST_SEARCH: Duration = Duration::from_millis(1_200);
+/// A stopping process has its last answers written this long before it ends.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// Interval of the search.
 const SEARCH_PAUSE: Duration = Duration::from_millis(15);
 
@@ -42,6 +44,8 @@
     /// Runs a caller's job. Dropping the future cancels it.
     pub async fn submit(self: &Rc<Self>, work: Work) -> Outcome {
         let begun = Instant::now();
+        let patience = work.patience.min(self.time_left());
+        let work = Work { patience, ..work };
         let mut how = Handed { may_pass: true, resumed: false };
         loop {
             let patience = work.patience.saturating_sub(begun.elapsed());
@@ -73,6 +77,13 @@
         }
     }
 
+    /// Time in which answers surely leave this process.
+    fn time_left(&self) -> Duration {
+        self.ends.get().map_or(Duration::MAX, |ends| {
+            ends.saturating_duration_since(Instant::now()).saturating_sub(ANSWER_MARGIN)
+        })
+    }
+
     async fn wait_for_dispatcher(self: &Rc<Self>, begun: Instant) {
         sleep(SEARCH_PAUSE).await;
         while !self.dispatches() && self.own_link().is_none() && begun.elapsed() < LONGEST_SEARCH {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -37,7 +37,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 use tokio::{sync::Notify, task::spawn_local};
 
@@ -72,7 +72,8 @@
     passes: RefCell<IndexMap<SocketAddr, entry::Pass>>,
     hints: RefCell<IndexMap<ZoneName, SocketAddr>>,
     epoch_seen: Cell<u64>,
-    leaving: Cell<bool>,
+    /// When the process ends, once it is stopping.
+    ends: Cell<Option<Instant>>,
     fetching: Cell<bool>,
     started: Instant,
     notes: RefCell<Notes>,
@@ -98,7 +99,7 @@
             passes: RefCell::default(),
             hints: RefCell::default(),
             epoch_seen: Cell::new(0),
-            leaving: Cell::new(false),
+            ends: Cell::new(None),
             fetching: Cell::new(false),
             started: Instant::now(),
             notes: RefCell::default(),
@@ -199,7 +200,7 @@
     /// Whether new requests should be sent here.
     pub fn is_ready(&self) -> bool {
         let serves = self.dispatches() || self.own_link().is_some();
-        self.plan.borrow().is_some() && serves && !self.leaving.get()
+        self.plan.borrow().is_some() && serves && !self.is_leaving()
     }
 
     /// Whether this VM is its zone's dispatcher.
@@ -209,12 +210,13 @@
 
     /// Whether this VM is stopping.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.get()
+        self.ends.get().is_some()
     }
 
-    /// Is not ready any more and hands its zone over; jobs in progress are run to their end.
-    pub fn leave(self: &Rc<Self>) {
-        self.leaving.set(true);
+    /// Is not ready any more and hands its zone over; jobs in progress are run to their end. The
+    /// process ends after `span`: what can't be done by then is refused.
+    pub fn leave(self: &Rc<Self>, span: Duration) {
+        self.ends.set(Some(Instant::now() + span));
         spawn_local(Rc::clone(self).retire());
     }
 
@@ -303,7 +305,7 @@
             epoch,
             spare,
             zones: zones.collect(),
-            leaving: self.leaving.get(),
+            leaving: self.is_leaving(),
         }
     }
 
