Tasks with a hard deadline wait for a busy fast target where they end sooner; tests of these loads

Cause: a long task whose slack was used up took a slow target although a fast one was about to be free; found by the new test long_tasks_wait_for_fast_targets, which failed first (the run on the slow target was given up). The list-scheduling test world has targets of uneven speed.

--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -1,7 +1,8 @@
 //! Which jobs are let in, passed to another zone, or refused at once.
 
 use super::{
-    Action, Dispatch, JobKey, LONGEST_LEASE, MAX_JOBS, Note, Parked, Rank, job::Job,
+    Action, Dispatch, JobKey, LONGEST_LEASE, MAX_JOBS, Note, Parked, Rank,
+    job::Job,
     replies::{STOP_MARGIN, STOP_TIME},
 };
 use crate::state::{
--- a/src/coordination/dispatch/forecast.rs
+++ b/src/coordination/dispatch/forecast.rs
@@ -8,7 +8,7 @@
 /// Processor a place takes where nothing runs or waits to tell, in thousandths of a core.
 const USUAL_CPU: u64 = 10_000;
 /// A run past its expected end is taken to last this much longer.
-const OVERDUE: Duration = Duration::from_millis(20);
+pub(super) const OVERDUE: Duration = Duration::from_millis(20);
 
 /// A target that is being taken over is usable after this long: a look and a stop.
 const TAKE_TIME: Duration = Duration::from_millis(60);
--- a/src/coordination/dispatch/place.rs
+++ b/src/coordination/dispatch/place.rs
@@ -1,6 +1,6 @@
 //! Which task goes to which target.
 
-use super::{Action, Dispatch, JobKey, job::Job, runs::lease};
+use super::{Action, Dispatch, JobKey, forecast::OVERDUE, job::Job, runs::lease};
 use crate::state::{
     plan::QueueName,
     target::{Run, RunState, Target, TargetId},
@@ -100,14 +100,11 @@
         now: Moment,
     ) -> Option<Candidate> {
         let job = self.jobs.get(&key)?;
-        let queue = self.plan.queue(&job.work.queue)?;
         let rack = self.rack_of(key, step);
         let fits = |t: &&Target| {
-            t.info.pool == queue.pool
-                && self.is_usable(t, now)
-                && step.needs.fits(t.room())
+            step.needs.fits(t.room())
+                && self.could_run(job, step, t, now)
                 && !t.runs.contains_key(&task)
-                && step.required.as_ref().is_none_or(|label| t.info.has(label))
                 && step
                     .most_per_target
                     .is_none_or(|most| job.on_target(task.step, &t.info.id) < most)
@@ -125,10 +122,32 @@
             Some(Candidate { id: t.info.id.clone(), time, in_time, left })
         });
         let best = candidates.min_by(Candidate::compare)?;
-        let waits = !best.in_time && job.is_hard() && self.has_slack(key, step, now);
+        let waits = !best.in_time
+            && job.is_hard()
+            && (self.has_slack(key, step, now) || self.ends_sooner_on_busy(key, step, &best, now));
         (!waits).then_some(best)
     }
 
+    /// Whether a task is expected to end sooner on a target that has no room yet than on `free`.
+    fn ends_sooner_on_busy(&self, key: JobKey, step: &Step, free: &Candidate, now: Moment) -> bool {
+        let Some(job) = self.jobs.get(&key) else { return false };
+        let fits = |t: &&Target| self.could_run(job, step, t, now) && !step.needs.fits(t.room());
+        self.targets.values().filter(fits).any(|t| {
+            let time = self.task_time(&job.work.queue, step, t).mul_f64(job.scale());
+            let room = t.runs.values().map(|run| run.expected.max(now + OVERDUE)).min();
+            room.is_some_and(|room| room + time < now + free.time)
+        })
+    }
+
+    /// Whether a target may be given a task of a job once it has room.
+    fn could_run(&self, job: &Job, step: &Step, target: &Target, now: Moment) -> bool {
+        let pool = self.plan.queue(&job.work.queue).map(|queue| &queue.pool);
+        pool == Some(&target.info.pool)
+            && self.is_usable(target, now)
+            && step.needs.fits(target.info.capacity)
+            && step.required.as_ref().is_none_or(|label| target.info.has(label))
+    }
+
     /// Whether a task may wait for a place on a faster target without missing its deadline there.
     fn has_slack(&self, key: JobKey, step: &Step, now: Moment) -> bool {
         let Some(job) = self.jobs.get(&key) else { return false };
@@ -139,13 +158,7 @@
     /// Expected run time of a task on the fastest target that may be given work, free or not.
     pub(super) fn fastest_time(&self, key: JobKey, step: &Step, now: Moment) -> Option<Duration> {
         let job = self.jobs.get(&key)?;
-        let pool = &self.plan.queue(&job.work.queue)?.pool;
-        let targets = self.targets.values().filter(|t| {
-            t.info.pool == *pool
-                && self.is_usable(t, now)
-                && step.needs.fits(t.info.capacity)
-                && step.required.as_ref().is_none_or(|label| t.info.has(label))
-        });
+        let targets = self.targets.values().filter(|t| self.could_run(job, step, t, now));
         let times = targets.map(|t| self.task_time(&job.work.queue, step, t));
         Some(times.min()?.mul_f64(job.scale()))
     }
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -91,11 +91,7 @@
         }
     }
 
-    async fn submit_once(
-        self: &Rc<Self>,
-        work: &Work,
-        how: Handed,
-    ) -> Result<Handled, RpcError> {
+    async fn submit_once(self: &Rc<Self>, work: &Work, how: Handed) -> Result<Handled, RpcError> {
         if self.dispatches() {
             return Ok(self.run_here(work.clone(), how).await);
         }
--- a/src/fleet/own.rs
+++ b/src/fleet/own.rs
@@ -19,11 +19,7 @@
     sync::Arc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
-use tokio::{
-    sync::oneshot,
-    task::spawn_local,
-    time::sleep,
-};
+use tokio::{sync::oneshot, task::spawn_local, time::sleep};
 
 /// Interval of the dispatcher's own checks; a small part of the shortest time limit among them.
 const TICK: Duration = Duration::from_millis(25);
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -25,7 +25,17 @@
 
 /// An incarnation of a target: the time of its start, as it says.
 #[derive(
-    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
     Deserialize,
 )]
 pub struct Life(pub u64);
--- a/tests/dispatch/load.rs
+++ b/tests/dispatch/load.rs
@@ -122,3 +122,55 @@
     let tally = tally(&world, &jobs);
     assert_eq!(tally.in_time, 2, "{tally:?}");
 }
+
+/// Long jobs whose objective is their deadline, beside targets of uneven speed: they need up to twice
+/// the declared time, which only the fast targets make up for, and wait for these while they can.
+#[test]
+fn long_tasks_wait_for_fast_targets() {
+    let mut world = World::with_speeds(&[2.0, 0.8, 0.8]);
+    let heavy = |id| {
+        let mut work = work(id, LONG, 2, ms(900));
+        work.spec = "1200".into();
+        work
+    };
+    let jobs = [world.submit(heavy(1)), world.submit(heavy(2))];
+    world.run(ms(1_500));
+    let outcomes = jobs.map(|key| world.outcome(key));
+    assert_eq!(outcomes, [Some(Outcome::Completed); 2]);
+    assert_eq!(world.target(0).starts.len(), 4);
+}
+
+/// A run turns out to end too late where it is, and the faster target is busy just then: it starts
+/// again there as soon as there is room.
+#[test]
+fn run_that_ends_too_late_waits_for_a_faster_target() {
+    let mut world = World::with_speeds(&[2.0, 0.8]);
+    world.submit(work(1, URGENT, 2, ms(400)));
+    let first: Vec<_> = world.target(0).starts.clone();
+    let mut heavy = work(2, LONG, 1, ms(300));
+    heavy.spec = "1500".into();
+    let key = world.submit(heavy);
+    world.run(ms(1_500));
+    assert_eq!(first.len(), 2, "the fast target is busy");
+    assert_eq!(world.outcome(key), Some(Outcome::Completed));
+    assert_eq!(world.doubles, []);
+}
+
+/// Overload that predictions missed: a job that has missed its objective with much left to do lets
+/// those go first that can still meet theirs.
+#[test]
+fn late_jobs_come_after_jobs_in_time() {
+    let mut world = World::with_speeds(&[1.0]);
+    world.submit(work(1, LONG, 1, ms(700)));
+    let mut slower = work(2, URGENT, 3, ms(45));
+    slower.spec = "100".into();
+    let late = world.submit_as(slower, true, false);
+    world.run(ms(150));
+    let begun = world.now;
+    let in_time = world.submit_as(work(3, URGENT, 1, ms(60)), true, false);
+    world.run(ms(300));
+    assert_eq!(world.outcome(late), Some(Outcome::Completed));
+    assert_eq!(world.outcome(in_time), Some(Outcome::Completed));
+    assert!(world.answers[&in_time].1 < world.answers[&late].1);
+    assert!(world.answers[&in_time].1 - begun <= ms(156), "60 ms x 1.6 + 60 ms");
+}
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -2,7 +2,7 @@
 
 use cranberrytray::{
     coordination::dispatch::{
-        Action, Dispatch, JobKey, Order,
+        Action, Dispatch, JobKey, Note, Order,
         replies::{HoldError, StartRefusal, StartReply, StopReply},
     },
     state::{
@@ -118,9 +118,11 @@
 }
 
 /// A target.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FakeTarget {
     pub mood: Mood,
+    /// Work done in a unit of time, 1 being usual.
+    pub speed: f64,
     pub fence: Fence,
     runs: IndexMap<TaskId, FakeRun>,
     ended: Vec<EndedRun>,
@@ -132,6 +134,24 @@
     watched: bool,
 }
 
+impl Default for FakeTarget {
+    fn default() -> Self {
+        FakeTarget {
+            mood: Mood::Sound,
+            speed: 1.0,
+            fence: Fence::default(),
+            runs: IndexMap::new(),
+            ended: Vec::new(),
+            count: 0,
+            lease: Moment::ZERO,
+            acknowledged: 0,
+            starts: Vec::new(),
+            next_hold: Moment::ZERO,
+            watched: false,
+        }
+    }
+}
+
 impl FakeTarget {
     pub fn running(&self) -> usize {
         self.runs.len()
@@ -187,6 +207,7 @@
     pub answers: IndexMap<JobKey, (Outcome, Moment)>,
     pub passed: Vec<(JobKey, SocketAddr)>,
     pub doubles: Vec<TaskId>,
+    pub notes: Vec<(Moment, Note)>,
     list: Vec<TargetInfo>,
     /// Whether the list surely names all targets.
     pub complete: bool,
@@ -202,6 +223,7 @@
             answers: IndexMap::new(),
             passed: Vec::new(),
             doubles: Vec::new(),
+            notes: Vec::new(),
             list: (0..targets).map(info).collect(),
             complete: true,
         };
@@ -211,6 +233,20 @@
         world
     }
 
+    /// With targets of these speeds, which the dispatcher has learned.
+    pub fn with_speeds(speeds: &[f64]) -> Self {
+        let mut world = World::new(speeds.len()).started();
+        for (target, speed) in world.targets.values_mut().zip(speeds) {
+            target.speed = *speed;
+        }
+        for id in 0..60 {
+            world.submit(work(1_000 + id, URGENT, 2 * speeds.len() as u32, ms(60)));
+            world.run(ms(250));
+        }
+        world.targets.values_mut().for_each(|target| target.starts.clear());
+        world
+    }
+
     /// Makes the targets known, and runs until they are taken.
     pub fn started(mut self) -> Self {
         self.announce();
@@ -329,7 +365,8 @@
                     }
                     Action::Watch(id) => self.targets[&id].watched = true,
                     Action::Pass { key, to, .. } => self.passed.push((key, to)),
-                    Action::Fenced(_) | Action::Note(_) => {}
+                    Action::Note(note) => self.notes.push((self.now, note)),
+                    Action::Fenced(_) => {}
                 }
             }
         }
@@ -347,7 +384,7 @@
         } else if used + 14_000 > 32_000 {
             StartReply::Refused(StartRefusal::Room, Some(clock))
         } else {
-            let length = ms(spec.parse().unwrap());
+            let length = ms(spec.parse().unwrap()).div_f64(target.speed);
             let (ends, how) = match target.mood {
                 Mood::Hangs => (None, HowEnded::Done),
                 Mood::Fails => (Some(now + ms(1)), HowEnded::Failed),
