--- a/tests/dispatch/load.rs
+++ b/tests/dispatch/load.rs
@@ -200,7 +200,7 @@
     }
     world.run(ms(300));
     let tally = tally(&world, &jobs);
-    // A job of four tasks meets a lost hold in a quarter of all cases; aim at half of these in time.
-    assert!(tally.in_time >= 175, "{tally:?}");
+    // A job of four tasks meets a lost hold in a quarter of all cases; aim at 95% in time all the same.
+    assert!(tally.in_time >= 190, "{tally:?}");
     assert_eq!(world.doubles, []);
 }
