Jobs with a hard deadline go to the zone whose fast targets have room

Cause: the long kind needs fast targets for most of its deadline, and a zone has about eleven such places, which one or two large jobs fill; jobs were passed on only where the median forecast was late. Change: beats tell the free processor of fast targets, less what waits for it; a job whose objective is its deadline goes to a zone that has room for all of it there where this zone has not.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -78,6 +78,8 @@
   # Of that dispatcher; the higher one stays where two meet.
   spareMilliCores @4 :UInt64;
   # Free for other zones; sent by dispatchers.
+  spareFastMilliCores @7 :UInt64;
+  # The same on fast targets, for jobs whose objective is their deadline.
   zones @5 :List(ZoneDispatcher);
   leaving @6 :Bool;
 }
--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -1,7 +1,7 @@
 //! Which jobs are let in, passed to another zone, or refused at once.
 
 use super::{
-    Action, Dispatch, JobKey, LONGEST_LEASE, MAX_JOBS, Note, Parked, Rank,
+    Action, Dispatch, JobKey, LONGEST_LEASE, MAX_JOBS, Neighbour, Note, Parked, Rank,
     job::Job,
     replies::{STOP_MARGIN, STOP_TIME},
 };
@@ -123,8 +123,12 @@
         let end = forecast.put(job.waiting.len(), base.unwrap_or_default(), now);
         let cpu: u64 = job.work.steps.iter().map(|s| s.needs.cpu.0 * u64::from(s.count)).sum();
         let late = end.is_none_or(|end| end > job.objective);
-        let zone =
-            if late && origin == Origin::Caller { self.free_neighbour(cpu, now) } else { None };
+        let zone = match origin {
+            Origin::Caller if job.is_hard() => self.fast_neighbour(cpu, now),
+            _ => None,
+        };
+        let elsewhere = late && origin == Origin::Caller;
+        let zone = zone.or_else(|| elsewhere.then(|| self.free_neighbour(cpu, now)).flatten());
         if let Some(zone) = zone {
             return self.pass(key, zone, cpu);
         }
@@ -172,16 +176,26 @@
     }
 
     fn free_neighbour(&self, cpu: u64, now: Moment) -> Option<ZoneName> {
-        let fresh = |n: &crate::coordination::dispatch::Neighbour| {
-            now - n.heard <= NEIGHBOUR_AGE && n.free >= cpu / PASS_SHARE
-        };
+        let fresh =
+            |n: &Neighbour| now - n.heard <= NEIGHBOUR_AGE && n.free.all >= cpu / PASS_SHARE;
         let free = self.neighbours.iter().filter(|(_, n)| fresh(n));
-        free.max_by_key(|(_, n)| n.free).map(|(zone, _)| zone.clone())
+        free.max_by_key(|(_, n)| n.free.all).map(|(zone, _)| zone.clone())
+    }
+
+    /// A zone whose fast targets have room for a job with a hard deadline, where ours have none.
+    fn fast_neighbour(&self, cpu: u64, now: Moment) -> Option<ZoneName> {
+        if self.spare(now).fast >= cpu {
+            return None;
+        }
+        let fits = |n: &Neighbour| now - n.heard <= NEIGHBOUR_AGE && n.free.fast >= cpu;
+        let fast = self.neighbours.iter().filter(|(_, n)| fits(n));
+        fast.max_by_key(|(_, n)| n.free.fast).map(|(zone, _)| zone.clone())
     }
 
     fn pass(&mut self, key: JobKey, zone: ZoneName, cpu: u64) {
         let Some(neighbour) = self.neighbours.get_mut(&zone) else { return };
-        neighbour.free = neighbour.free.saturating_sub(cpu);
+        neighbour.free.all = neighbour.free.all.saturating_sub(cpu);
+        neighbour.free.fast = neighbour.free.fast.saturating_sub(cpu);
         let to = neighbour.address;
         self.counts.passed += 1;
         self.actions.push(Action::Pass { key, zone, to });
--- a/src/coordination/dispatch/forecast.rs
+++ b/src/coordination/dispatch/forecast.rs
@@ -63,7 +63,7 @@
         let usual = self.usual_cpu();
         let mut forecast = Forecast::default();
         for target in self.targets.values().filter(|t| self.is_usable(t, now)) {
-            let pace = Pace::new(self.speeds.slowness(&target.info.kind) * target.slowness);
+            let pace = Pace::new(self.slowness_of(target));
             for run in target.runs.values() {
                 forecast.add(pace, run.expected.max(now + OVERDUE));
             }
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -42,6 +42,8 @@
 const WAKE_GAP: Duration = Duration::from_millis(650);
 /// Weight of one run in what is known of a kind of target; some dozens run in a second.
 const KIND_WEIGHT: f64 = 0.02;
+/// Targets at most this slow, 1 being usual, are fast.
+const FAST: f64 = 0.8;
 /// Jobs that wait at most; more than a deadline's worth of work at the largest sites.
 const MAX_JOBS: usize = 4_096;
 
@@ -179,13 +181,22 @@
     },
 }
 
+/// Free processor less what waits for it, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Spare {
+    /// On all targets.
+    pub all: u64,
+    /// On fast ones, less what waits for these.
+    pub fast: u64,
+}
+
 /// What another zone offers, as its dispatcher last said.
 #[derive(Clone, Debug)]
 pub struct Neighbour {
     /// Its dispatcher's address.
     pub address: SocketAddr,
-    /// Free processor, in thousandths of a core, less what was passed there since.
-    pub free: u64,
+    /// Free processor, less what was passed there since.
+    pub free: Spare,
     /// When it was heard.
     pub heard: Moment,
 }
@@ -334,17 +345,34 @@
     }
 
     /// Takes in what another zone's dispatcher offers.
-    pub fn neighbour(&mut self, zone: ZoneName, address: SocketAddr, free: u64, now: Moment) {
+    pub fn neighbour(&mut self, zone: ZoneName, address: SocketAddr, free: Spare, now: Moment) {
         self.neighbours.insert(zone, Neighbour { address, free, heard: now });
     }
 
-    /// Free processor for other zones, in thousandths of a core, less what waits here.
-    pub fn spare(&self, now: Moment) -> u64 {
-        let usable = self.targets.values().filter(|t| self.is_usable(t, now));
-        let free: u64 = usable.map(|t| t.room().cpu.0).sum();
-        let jobs = self.waiting.iter().filter_map(|rank| self.jobs.get(&rank.key));
-        let tasks = jobs.flat_map(|job| job.waiting.iter().filter_map(|task| job.step(*task)));
-        free.saturating_sub(tasks.map(|step| step.needs.cpu.0).sum())
+    /// Free processor for other zones.
+    pub fn spare(&self, now: Moment) -> Spare {
+        let mut free = Spare::default();
+        for target in self.targets.values().filter(|t| self.is_usable(t, now)) {
+            let cpu = target.room().cpu.0;
+            free.all += cpu;
+            if self.slowness_of(target) <= FAST {
+                free.fast += cpu;
+            }
+        }
+        for job in self.waiting.iter().filter_map(|rank| self.jobs.get(&rank.key)) {
+            let steps = job.waiting.iter().filter_map(|task| job.step(*task));
+            let cpu: u64 = steps.map(|step| step.needs.cpu.0).sum();
+            free.all = free.all.saturating_sub(cpu);
+            if job.is_hard() {
+                free.fast = free.fast.saturating_sub(cpu);
+            }
+        }
+        free
+    }
+
+    /// How much slower a target is than usual.
+    fn slowness_of(&self, target: &Target) -> f64 {
+        self.speeds.slowness(&target.info.kind) * target.slowness
     }
 
     /// The actions decided since the last call.
--- a/src/coordination/dispatch/place.rs
+++ b/src/coordination/dispatch/place.rs
@@ -50,7 +50,7 @@
     }
 
     /// Whether its objective is its deadline, or close to it.
-    fn is_hard(&self) -> bool {
+    pub(super) fn is_hard(&self) -> bool {
         self.deadline - self.objective < (self.objective - self.arrived) / 4
     }
 }
@@ -176,8 +176,7 @@
     /// Expected run time of a task on a target.
     pub(super) fn task_time(&self, queue: &QueueName, step: &Step, target: &Target) -> Duration {
         let base = self.base_time(queue, step);
-        let kind = self.speeds.slowness(&target.info.kind);
-        base.mul_f64(kind * target.slowness)
+        base.mul_f64(self.slowness_of(target))
     }
 
     /// Expected run time of a task on a target of usual speed.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     coordination::dispatch::{
-        Order,
+        Order, Spare,
         own::Hold,
         replies::{HoldError, StartReply, StopReply},
     },
@@ -292,7 +292,7 @@
         let now = self.clock.now();
         let (epoch, spare) = match &*self.dispatching.borrow() {
             Some(d) if d.successor.is_none() => (d.epoch, d.core.spare(now)),
-            _ => (0, 0),
+            _ => (0, Spare::default()),
         };
         let hints = self.hints.borrow();
         let zones = hints
--- a/src/protocol/fleet_capnp.rs
+++ b/src/protocol/fleet_capnp.rs
@@ -2176,11 +2176,15 @@
         pub fn get_leaving(self) -> bool {
             self.reader.get_bool_field(192)
         }
+        #[inline]
+        pub fn get_spare_fast_milli_cores(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2310,6 +2314,14 @@
         pub fn set_leaving(&mut self, value: bool)  {
             self.builder.set_bool_field(192, value);
         }
+        #[inline]
+        pub fn get_spare_fast_milli_cores(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_spare_fast_milli_cores(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2324,73 +2336,80 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 129] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 146] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(34, 56, 224, 208, 143, 112, 106, 164),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(4, 104, 94, 211, 162, 201, 247, 177),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 192, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 162, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(81, 103, 216, 68, 96, 68, 233, 150),
@@ -2454,6 +2473,16 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 112, 97, 114, 101, 70, 97, 115),
+            ::capnp::word(116, 77, 105, 108, 108, 105, 67, 111),
+            ::capnp::word(114, 101, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2464,6 +2493,7 @@
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::fleet_capnp::zone_dispatcher::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2477,9 +2507,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,6,1,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,6,1,7,4,5];
         pub(crate) const TYPE_ID: u64 = 0xa46a_708f_d0e0_3822;
     }
 }
--- a/tests/dispatch/load.rs
+++ b/tests/dispatch/load.rs
@@ -2,7 +2,7 @@
 
 use crate::world::{LONG, Mood, URGENT, World, ms, work};
 use cranberrytray::{
-    coordination::dispatch::JobKey,
+    coordination::dispatch::{JobKey, Spare},
     state::work::{Outcome, Refusal},
 };
 
@@ -94,7 +94,8 @@
     world.submit(work(1, LONG, 2, ms(900)));
     let other = "other".parse().unwrap();
     let address = ([127, 0, 0, 1], 9_999).into();
-    world.dispatch.neighbour(other, address, 64_000, world.now);
+    let free = Spare { all: 64_000, fast: 0 };
+    world.dispatch.neighbour(other, address, free, world.now);
     let starts = world.starts();
     let key = world.submit_as(work(2, URGENT, 2, ms(60)), true, false);
     assert_eq!(world.passed, [(key, address)]);
@@ -204,3 +205,23 @@
     assert!(tally.in_time >= 190, "{tally:?}");
     assert_eq!(world.doubles, []);
 }
+
+/// Jobs that need fast targets arrive unevenly: the zone whose fast targets have room takes them, even
+/// where this one would end them in time by what is expected.
+#[test]
+fn hard_jobs_go_where_fast_targets_have_room() {
+    let mut world = World::with_speeds(&[2.0, 0.8, 0.8]);
+    let other = "other".parse().unwrap();
+    let address = ([127, 0, 0, 1], 9_999).into();
+    let free = Spare { all: 64_000, fast: 64_000 };
+    world.dispatch.neighbour(other, address, free, world.now);
+    let first = world.submit_as(work(1, LONG, 2, ms(900)), true, false);
+    let second = world.submit_as(work(2, LONG, 2, ms(900)), true, false);
+    assert_eq!(world.passed, [(second, address)]);
+    world.run(ms(1_000));
+    assert_eq!(world.outcome(first), Some(Outcome::Completed));
+    // What was passed there is counted until the zone says otherwise: 36,000 are left for 56,000.
+    let third = world.submit_as(work(3, LONG, 2, ms(900)), true, false);
+    world.submit_as(work(4, LONG, 4, ms(900)), true, false);
+    assert_eq!(world.passed.len(), 1, "{third}");
+}
