--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -26,6 +26,9 @@
 /// A job is passed to a zone that has this part of the room it takes: most runs are short, and the
 /// other zone refuses at once what it can't end in time.
 const PASS_SHARE: u64 = 4;
+/// A job that would wait here goes to a zone with this many times the room it takes: what that zone
+/// said is a tenth of a second old.
+const AMPLE: u64 = 2;
 /// A caller is told to come back after this long where no target is known.
 const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
 
@@ -127,6 +130,8 @@
             Origin::Caller if job.is_hard() => self.fast_neighbour(cpu, now),
             _ => None,
         };
+        let crowded = origin == Origin::Caller && !job.is_hard() && self.spare(now).all < cpu;
+        let zone = zone.or_else(|| crowded.then(|| self.roomy_neighbour(cpu, now)).flatten());
         let elsewhere = late && origin == Origin::Caller;
         let zone = zone.or_else(|| elsewhere.then(|| self.free_neighbour(cpu, now)).flatten());
         if let Some(zone) = zone {
@@ -182,6 +187,13 @@
         free.max_by_key(|(_, n)| n.free.all).map(|(zone, _)| zone.clone())
     }
 
+    /// A zone that has ample room for a job.
+    fn roomy_neighbour(&self, cpu: u64, now: Moment) -> Option<ZoneName> {
+        let fits = |n: &Neighbour| now - n.heard <= NEIGHBOUR_AGE && n.free.all >= cpu * AMPLE;
+        let roomy = self.neighbours.iter().filter(|(_, n)| fits(n));
+        roomy.max_by_key(|(_, n)| n.free.all).map(|(zone, _)| zone.clone())
+    }
+
     /// A zone whose fast targets have room for a job with a hard deadline, where ours have none.
     fn fast_neighbour(&self, cpu: u64, now: Moment) -> Option<ZoneName> {
         if self.spare(now).fast >= cpu {
