Jobs after a handover go over a connection with frequent beats

Ruled out: passing to other zones (the jobs were let in by their own zone), lost targets. Change: handing over uses a connection of its own.

--- a/src/fleet/follow.rs
+++ b/src/fleet/follow.rs
@@ -52,7 +52,11 @@
             if self.dispatches() {
                 links = self.announce(links).await;
                 if let Some(stronger) = links.iter().find(|link| self.should_yield(link)) {
-                    self.hand_over(stronger).await;
+                    // Jobs will go over this connection, so that it needs frequent beats.
+                    let fresh = self.connect_all(&[stronger.address], BEAT).await;
+                    if let Some(link) = fresh.first() {
+                        self.hand_over(link).await;
+                    }
                 }
                 sleep(BEAT).await;
             } else if let Some(link) = self.own_link() {
