--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -73,7 +73,7 @@
         // A run that was being stopped when the target was taken is not listed as running any more.
         let ended = |t: &Target| t.taken && now - t.taken_at > STOP_TIME + STOP_MARGIN;
         let all_ended = || self.targets.values().all(ended);
-        let looked = || self.complete && !self.targets.is_empty() && all_ended();
+        let looked = || self.trust.complete && !self.targets.is_empty() && all_ended();
         self.withheld.is_empty() && (leases_over || looked())
     }
 
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -26,6 +26,7 @@
 use derive_more::Display;
 use indexmap::{IndexMap, IndexSet};
 use job::Job;
+use own::ListTrust;
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 /// How long a lease is; the platform allows a second at most, and a caller that saw its connection
@@ -276,8 +277,8 @@
     retiring: bool,
     /// Targets that a retiring predecessor keeps.
     withheld: IndexSet<TargetId>,
-    /// Whether an earlier dispatcher can't have used targets that are not listed.
-    complete: bool,
+    trust: ListTrust,
+    began: Moment,
     /// Since when no other dispatcher extends leases in the zone, as far as is known.
     since: Moment,
     actions: Vec<Action>,
@@ -305,7 +306,8 @@
             open: true,
             retiring: false,
             withheld: IndexSet::new(),
-            complete: false,
+            trust: ListTrust::default(),
+            began: now,
             since: now,
             actions: Vec::new(),
         }
--- a/src/coordination/dispatch/own.rs
+++ b/src/coordination/dispatch/own.rs
@@ -30,6 +30,19 @@
 /// Shortest such wait; bounds the holds sent to a target whose runs are late to 40 a second.
 const SHORTEST_WAIT: Duration = Duration::from_millis(25);
 
+/// A new dispatcher waits this long for the list to be read again, lest it uses targets that are
+/// leaving; the store answers in some milliseconds, or can't be reached.
+const LIST_PATIENCE: Duration = Duration::from_millis(250);
+
+/// How far the list of targets can be trusted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListTrust {
+    /// It was read since this dispatcher began.
+    pub current: bool,
+    /// An earlier dispatcher can't have used targets that it lacks.
+    pub complete: bool,
+}
+
 /// A request that extends leases and asks for what ended.
 #[derive(Clone, Debug)]
 pub struct Hold {
@@ -57,10 +70,10 @@
         self.fence = self.fence.max(fence);
     }
 
-    /// Replaces the list of targets; `complete` if an earlier dispatcher can't have used others.
-    pub fn list(&mut self, list: &[TargetInfo], complete: bool, now: Moment) {
+    /// Replaces the list of targets.
+    pub fn list(&mut self, list: &[TargetInfo], trust: ListTrust, now: Moment) {
         self.check_gap(now);
-        self.complete = complete;
+        self.trust = trust;
         let known: IndexMap<&TargetId, &TargetInfo> = list.iter().map(|i| (&i.id, i)).collect();
         for target in self.targets.values_mut() {
             target.listed = known.contains_key(&target.info.id);
@@ -145,7 +158,9 @@
 
     /// Whether a target may be given work.
     pub(super) fn is_usable(&self, target: &Target, now: Moment) -> bool {
-        target.taken
+        let current = self.trust.current || now - self.began > LIST_PATIENCE;
+        current
+            && target.taken
             && !target.info.draining
             && target.silent_since.is_none()
             && target.clock.is_some()
--- a/src/fleet/follow.rs
+++ b/src/fleet/follow.rs
@@ -51,7 +51,9 @@
         loop {
             if self.dispatches() {
                 links = self.announce(links).await;
-                if let Some(stronger) = links.iter().find(|link| self.should_yield(link)) {
+                let whole = self.dispatching.borrow().as_ref().is_some_and(|d| !d.partial);
+                let stronger = links.iter().find(|link| whole && self.should_yield(link));
+                if let Some(stronger) = stronger {
                     // Jobs will go over this connection, so that it needs frequent beats.
                     let fresh = self.connect_all(&[stronger.address], BEAT).await;
                     if let Some(link) = fresh.first() {
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -77,6 +77,9 @@
     /// Takes a zone over from a leaving dispatcher, but for the targets that it keeps.
     pub(super) fn succeed(self: &Rc<Self>, epoch: u64, kept: Vec<TargetId>) -> bool {
         self.epoch_seen.set(self.epoch_seen.get().max(epoch));
+        if self.with(|d| d.successor.is_some()) == Some(true) {
+            return false; // This VM is handing the zone over itself.
+        }
         if !self.dispatches() {
             if self.is_leaving() || self.plan().is_none() || self.zone_targets().is_empty() {
                 return false;
--- a/src/fleet/own.rs
+++ b/src/fleet/own.rs
@@ -2,7 +2,7 @@
 
 use super::{Node, Targets};
 use crate::{
-    coordination::dispatch::{Action, Dispatch, JobKey, Order, replies::HoldError},
+    coordination::dispatch::{Action, Dispatch, JobKey, Order, own::ListTrust, replies::HoldError},
     protocol::fleet::{Beat, Handled},
     state::{
         target::{Fence, TargetId, TargetTime},
@@ -159,8 +159,13 @@
     pub(super) fn list_targets(self: &Rc<Self>) {
         let list = self.zone_targets();
         let since = self.dispatching.borrow().as_ref().map(|d| d.since);
-        let complete = since.is_some_and(|since| self.roster.borrow().is_complete(since));
-        self.decide(|core, now| core.list(&list, complete, now));
+        let roster = self.roster.borrow();
+        let trust = ListTrust {
+            current: since.is_some_and(|since| roster.is_current(since)),
+            complete: since.is_some_and(|since| roster.is_complete(since)),
+        };
+        drop(roster);
+        self.decide(|core, now| core.list(&list, trust, now));
     }
 
     /// Has the core decide something, and does what it says. False if this VM doesn't dispatch.
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -80,6 +80,11 @@
         self.entries.values().map(|entry| &entry.info)
     }
 
+    /// Whether the list was read since `moment`.
+    pub fn is_current(&self, moment: Moment) -> bool {
+        self.last_read >= moment
+    }
+
     /// Whether it holds every target that another VM may have used before `moment`: the list was
     /// read since, and has been readable for so long that no entry can be missing from it that was
     /// not seen here.
--- a/tests/dispatch/ownership.rs
+++ b/tests/dispatch/ownership.rs
@@ -65,7 +65,7 @@
 #[test]
 fn resumed_job_waits_for_leases_where_the_list_may_lack_targets() {
     let mut world = World::new(2);
-    world.complete = false;
+    world.trust.complete = false;
     world.announce();
     let key = world.submit_as(work(7, URGENT, 1, ms(60)), false, true);
     world.run(ms(900));
@@ -74,6 +74,36 @@
     assert_eq!(world.outcome(key), Some(Outcome::Completed));
 }
 
+/// Seen on a drawn day of a grown site: a VM took its zone over with a list that was seconds old, and
+/// started work on targets that were leaving.
+#[test]
+fn new_dispatcher_waits_for_the_list() {
+    let mut world = World::new(2);
+    world.trust.current = false;
+    world.announce();
+    world.submit(work(1, URGENT, 2, ms(60)));
+    world.run(ms(150));
+    assert_eq!(world.starts(), 0);
+    world.trust.current = true;
+    world.change(0, |info| info.draining = true);
+    world.submit(work(2, URGENT, 2, ms(60)));
+    world.run(ms(100));
+    assert_eq!(world.target(0).starts.len(), 0);
+    assert_eq!(world.target(1).starts.len(), 2);
+}
+
+/// The store can't be read: the zone is served by the older list.
+#[test]
+fn new_dispatcher_serves_without_the_list() {
+    let mut world = World::new(2);
+    world.trust.current = false;
+    world.announce();
+    world.run(ms(300));
+    let key = world.submit(work(1, URGENT, 2, ms(60)));
+    world.run(ms(100));
+    assert_eq!(world.outcome(key), Some(Outcome::Completed));
+}
+
 /// A stop that no answer confirms: the target gets no further work, its leases run out, and the task
 /// runs again only then.
 #[test]
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -3,6 +3,7 @@
 use cranberrytray::{
     coordination::dispatch::{
         Action, Dispatch, JobKey, Note, Order,
+        own::ListTrust,
         replies::{HoldError, StartRefusal, StartReply, StopReply},
     },
     state::{
@@ -220,8 +221,7 @@
     pub doubles: Vec<TaskId>,
     pub notes: Vec<(Moment, Note)>,
     list: Vec<TargetInfo>,
-    /// Whether the list surely names all targets.
-    pub complete: bool,
+    pub trust: ListTrust,
 }
 
 impl World {
@@ -236,7 +236,7 @@
             doubles: Vec::new(),
             notes: Vec::new(),
             list: (0..targets).map(info).collect(),
-            complete: true,
+            trust: ListTrust { current: true, complete: true },
         };
         for info in &world.list {
             world.targets.insert(info.id.clone(), FakeTarget::default());
@@ -266,7 +266,7 @@
     }
 
     pub fn announce(&mut self) {
-        self.dispatch.list(&self.list, self.complete, self.now);
+        self.dispatch.list(&self.list, self.trust, self.now);
         self.act();
     }
 
