--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -10,7 +10,7 @@
     plan::Queue,
     target::Target,
     time::Moment,
-    work::{Outcome, Refusal, Work},
+    work::{Outcome, Refusal, Work, WorkId},
 };
 use indexmap::IndexMap;
 use std::{collections::VecDeque, time::Duration};
@@ -135,7 +135,7 @@
         let elsewhere = late && origin == Origin::Caller;
         let zone = zone.or_else(|| elsewhere.then(|| self.free_neighbour(cpu, now)).flatten());
         if let Some(zone) = zone {
-            return self.pass(key, zone, cpu);
+            return self.pass(key, id, zone, cpu, now);
         }
         let Some(end) = end else {
             return self.refuse(key, &job.work, Refusal::NoTarget, NO_TARGET_RETRY, Duration::ZERO);
@@ -204,15 +204,25 @@
         fast.max_by_key(|(_, n)| n.free.fast).map(|(zone, _)| zone.clone())
     }
 
-    fn pass(&mut self, key: JobKey, zone: ZoneName, cpu: u64) {
+    fn pass(&mut self, key: JobKey, id: WorkId, zone: ZoneName, cpu: u64, now: Moment) {
+        let own = self.spare(now);
         let Some(neighbour) = self.neighbours.get_mut(&zone) else { return };
+        let (free, age) = (neighbour.free, now - neighbour.heard);
         neighbour.free.all = neighbour.free.all.saturating_sub(cpu);
         neighbour.free.fast = neighbour.free.fast.saturating_sub(cpu);
         let to = neighbour.address;
         self.counts.passed += 1;
+        self.note(Note::Passed { id, zone: zone.clone(), own, free, age });
         self.actions.push(Action::Pass { key, zone, to });
     }
 
+    fn note_refused(&mut self, id: WorkId, refusal: Refusal, expected: Duration, age: Duration) {
+        let waiting = self.waiting.len();
+        let now = self.last_call;
+        let usable = self.targets.values().filter(|t| self.is_usable(t, now)).count();
+        self.note(Note::Refused { id, refusal, expected, age, waiting, usable });
+    }
+
     fn refuse(
         &mut self,
         key: JobKey,
@@ -222,7 +232,7 @@
         expected: Duration,
     ) {
         self.counts.refused += 1;
-        self.note(Note::Refused { id: work.id, refusal, expected });
+        self.note_refused(work.id, refusal, expected, Duration::ZERO);
         let outcome = Outcome::NotRun { refusal, retry_after };
         self.actions.push(Action::Answer { key, id: work.id, outcome });
     }
@@ -268,8 +278,8 @@
             }
             let retry_after = retry_after(expected);
             let refusal = Refusal::TooLate;
-            let id = job.work.id;
-            self.note(Note::Refused { id, refusal, expected });
+            let (id, age) = (job.work.id, now - job.arrived);
+            self.note_refused(id, refusal, expected, age);
             self.settle(rank.key, Outcome::NotRun { refusal, retry_after });
         }
     }
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -214,7 +214,11 @@
         } else {
             Outcome::NotRun { refusal: Refusal::Closed, retry_after: Duration::from_secs(1) }
         };
-        self.note(Note::GaveUp { id, reason });
+        let age = self.last_call - job.arrived;
+        let waiting = job.waiting.len();
+        let running = job.tasks.values().filter(|t| t.on.is_some()).count();
+        let scale = job.scale();
+        self.note(Note::GaveUp { id, reason, age, waiting, running, scale });
         self.settle(key, outcome);
     }
 }
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -23,7 +23,7 @@
     time::Moment,
     work::{Outcome, Refusal, RunNumber, TaskId, Work, WorkId},
 };
-use derive_more::Display;
+use derive_more::{Add, Display};
 use indexmap::{IndexMap, IndexSet};
 use job::Job;
 use own::ListTrust;
@@ -133,6 +133,34 @@
         refusal: Refusal,
         /// Expected time until it would have been done.
         expected: Duration,
+        /// Time since it arrived.
+        age: Duration,
+        /// Jobs that wait.
+        waiting: usize,
+        /// Targets that could be given work.
+        usable: usize,
+    },
+    /// A job was passed to another zone.
+    Passed {
+        /// The job.
+        id: WorkId,
+        /// The zone.
+        zone: ZoneName,
+        /// What is free here.
+        own: Spare,
+        /// What is free there, as last heard and less what was passed since.
+        free: Spare,
+        /// How long ago that was heard.
+        age: Duration,
+    },
+    /// A start without an answer was sent again.
+    Resent {
+        /// The task.
+        task: TaskId,
+        /// The target.
+        target: TargetId,
+        /// How long the answer was waited for.
+        waited: Duration,
     },
     /// A run was closed otherwise than by success.
     RunEnded {
@@ -160,6 +188,14 @@
         id: WorkId,
         /// Why.
         reason: &'static str,
+        /// Time since it arrived.
+        age: Duration,
+        /// Tasks that wait.
+        waiting: usize,
+        /// Tasks that may be running.
+        running: usize,
+        /// How much longer its tasks run than expected.
+        scale: f64,
     },
     /// A target is given no work for a while.
     SetAside {
@@ -222,7 +258,7 @@
 }
 
 /// Counts for the metrics.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Add)]
 pub struct Counts {
     /// Jobs let in.
     pub admitted: u64,
@@ -248,6 +284,10 @@
     pub stragglers: u64,
     /// Targets set aside.
     pub set_aside: u64,
+    /// Orders refused for a higher fencing token.
+    pub fenced: u64,
+    /// Times that this VM became the dispatcher.
+    pub takeovers: u64,
 }
 
 /// The decisions of a zone's dispatcher.
@@ -300,7 +340,7 @@
             speeds: Speeds::weighing(KIND_WEIGHT),
             patience: Patience::default(),
             losses: 0.0,
-            counts: Counts::default(),
+            counts: Counts { takeovers: 1, ..Counts::default() },
             next_key: 0,
             last_call: now,
             open: true,
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -134,15 +134,22 @@
             return;
         };
         let Some(run) = target.runs.get_mut(&task) else { return };
+        let waited = now - run.sent;
         run.sends += 1;
         run.expected = now + (run.expected - run.sent);
         run.sent = now;
         let number = run.number;
         let order = self.order(&self.targets[id], task, number);
         self.counts.starts += 1;
+        self.note(Note::Resent { task, target: id.clone(), waited });
         self.actions.push(Action::Start { order, spec, until });
     }
 
+    fn fenced(&mut self, id: &TargetId) {
+        self.counts.fenced += 1;
+        self.actions.push(Action::Fenced(id.clone()));
+    }
+
     fn not_started(
         &mut self,
         id: &TargetId,
@@ -158,7 +165,7 @@
                 self.counts.room_refusals += 1;
             }
             StartRefusal::Unhealthy | StartRefusal::Invalid => self.blame(id, now),
-            StartRefusal::Fenced => self.actions.push(Action::Fenced(id.clone())),
+            StartRefusal::Fenced => self.fenced(id),
             StartRefusal::OtherLife => self.other_life(id, now),
             StartRefusal::Late => target.clock = None,
             StartRefusal::OldRun => {}
@@ -184,7 +191,7 @@
                     *acknowledged = Some(now + STOP_TIME);
                 }
             }
-            StopReply::Fenced => self.actions.push(Action::Fenced(id.clone())),
+            StopReply::Fenced => self.fenced(id),
             StopReply::OtherLife => self.other_life(id, now),
             StopReply::Unknown => {}
         }
@@ -206,7 +213,7 @@
         }
         match reply {
             Ok(report) => self.reported(id, sent, report, now),
-            Err(HoldError::Fenced) => self.actions.push(Action::Fenced(id.clone())),
+            Err(HoldError::Fenced) => self.fenced(id),
             Err(HoldError::OtherLife) => self.other_life(id, now),
             Err(HoldError::Unreachable) => self.silent(id, now),
             Err(HoldError::NoAnswer) => self.missed(id, now),
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -44,6 +44,20 @@
     /// Runs a caller's job. Dropping the future cancels it.
     pub async fn submit(self: &Rc<Self>, work: Work) -> Outcome {
         let begun = Instant::now();
+        let id = work.id;
+        let outcome = self.submit_until_answered(work, begun).await;
+        let took = begun.elapsed();
+        self.metrics.answered(outcome, took);
+        if outcome != Outcome::Completed
+            && self.notes.borrow_mut().admits("answered", self.clock.now())
+        {
+            let version = self.plan_version();
+            log::info!("entry: job {id} answered {outcome:?} after {took:?}, config={}", version.0);
+        }
+        outcome
+    }
+
+    async fn submit_until_answered(self: &Rc<Self>, work: Work, begun: Instant) -> Outcome {
         let patience = work.patience.min(self.time_left());
         let work = Work { patience, ..work };
         let mut how = Handed { may_pass: true, resumed: false };
@@ -52,14 +66,17 @@
             let rest = Work { patience, ..work.clone() };
             let again = patience > SHORTEST_RESUMPTION && begun.elapsed() < LONGEST_SEARCH;
             match self.submit_once(&rest, how).await {
-                Ok(Handled::Passed(to)) => match self.submit_to(to, &rest).await {
-                    // Nothing has run there, so that this zone may still run it.
-                    Outcome::NotRun { .. } if patience > SHORTEST_RESUMPTION => {
-                        how.may_pass = false;
-                        continue;
+                Ok(Handled::Passed(to)) => {
+                    self.metrics.passed();
+                    match self.submit_to(to, &rest).await {
+                        // Nothing has run there, so that this zone may still run it.
+                        Outcome::NotRun { .. } if patience > SHORTEST_RESUMPTION => {
+                            how.may_pass = false;
+                            continue;
+                        }
+                        outcome => return outcome,
                     }
-                    outcome => return outcome,
-                },
+                }
                 Ok(Handled::Ended(Outcome::NotRun { refusal: Refusal::Closed, .. })) if again => {}
                 Ok(Handled::Ended(Outcome::NotRun { .. })) if how.resumed => {
                     return Outcome::Unknown;
@@ -69,6 +86,7 @@
                 // any more.
                 Err(e) if again => {
                     log::info!("entry: job {} lost its dispatcher: {e}", work.id);
+                    self.metrics.resumed();
                     how = Handed { may_pass: false, resumed: true };
                 }
                 Err(_) => return Outcome::Unknown,
--- /dev/null
+++ b/src/fleet/metrics.rs
@@ -0,0 +1,177 @@
+//! Counters and latency histograms of a VM, in the OpenMetrics text format.
+
+use super::{Node, Targets};
+use crate::{
+    coordination::dispatch::Counts,
+    state::work::{Outcome, Refusal},
+};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::{ConstCounter, Counter},
+        family::Family,
+        gauge::ConstGauge,
+        histogram::Histogram,
+    },
+    registry::Registry,
+};
+use std::time::Duration;
+
+/// Upper bounds of the latency histogram, in seconds: from a short task's run time to the longest
+/// deadline of the users' requests.
+const LATENCY_BOUNDS: [f64; 10] = [0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.9, 1.2, 1.5];
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabel {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabel {
+    reason: &'static str,
+}
+
+/// What a VM counts of its callers' jobs.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    jobs: Family<OutcomeLabel, Histogram>,
+    refusals: Family<RefusalLabel, Counter>,
+    resumed: Counter,
+    passed: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics {
+            jobs: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS)),
+            refusals: Family::default(),
+            resumed: Counter::default(),
+            passed: Counter::default(),
+        }
+    }
+}
+
+impl Metrics {
+    /// A caller's job was answered after `took`.
+    pub fn answered(&self, outcome: Outcome, took: Duration) {
+        let outcome_name = match outcome {
+            Outcome::Completed => "completed",
+            Outcome::Failed => "failed",
+            Outcome::NotRun { .. } => "not_run",
+            Outcome::Unknown => "unknown",
+        };
+        let label = OutcomeLabel { outcome: outcome_name };
+        self.jobs.get_or_create(&label).observe(took.as_secs_f64());
+        if let Outcome::NotRun { refusal, .. } = outcome {
+            self.refusals.get_or_create(&RefusalLabel { reason: reason(refusal) }).inc();
+        }
+    }
+
+    /// A caller's job lost its dispatcher and is given to the next one.
+    pub fn resumed(&self) {
+        self.resumed.inc();
+    }
+
+    /// A caller's job goes to another zone.
+    pub fn passed(&self) {
+        self.passed.inc();
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        let help = "Time from reading a job to its answer, by outcome";
+        registry.register("job_seconds", help, self.jobs.clone());
+        registry.register("refusals", "Jobs refused, by reason", self.refusals.clone());
+        let help = "Jobs given to the next dispatcher of the zone";
+        registry.register("resumed_jobs", help, self.resumed.clone());
+        let help = "Jobs given to another zone's dispatcher";
+        registry.register("passed_jobs", help, self.passed.clone());
+    }
+}
+
+fn reason(refusal: Refusal) -> &'static str {
+    match refusal {
+        Refusal::TooLate => "too_late",
+        Refusal::QueueFull => "queue_full",
+        Refusal::NoTarget => "no_target",
+        Refusal::NoDispatcher => "no_dispatcher",
+        Refusal::Closed => "closed",
+        Refusal::NoQueue => "no_queue",
+        Refusal::Shape => "shape",
+    }
+}
+
+impl<T> Node<T>
+where
+    T: Targets,
+{
+    /// The present metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// [`std::fmt::Error`] if a value can't be written.
+    pub fn metrics_text(&self) -> Result<String, std::fmt::Error> {
+        let mut registry = Registry::with_prefix("cranberrytray");
+        self.metrics.register(&mut registry);
+        self.register_gauges(&mut registry);
+        register_counts(&mut registry, self.counts());
+        let mut text = String::new();
+        encode(&mut text, &registry)?;
+        Ok(text)
+    }
+
+    /// The dispatcher's counts, over all times at which this VM was it.
+    fn counts(&self) -> Counts {
+        let present = self.dispatching.borrow().as_ref().map(|d| d.core.counts());
+        self.past.get() + present.unwrap_or_default()
+    }
+
+    fn register_gauges(&self, registry: &mut Registry) {
+        let dispatching = self.dispatching.borrow();
+        let core = dispatching.as_ref().map(|d| &d.core);
+        let values = [
+            ("config_version", "Configuration version in force", self.plan_version().0),
+            ("ready", "Whether new requests should be sent here", u64::from(self.is_ready())),
+            (
+                "dispatches",
+                "Whether this VM is its zone's dispatcher",
+                u64::from(self.dispatches()),
+            ),
+            ("known_targets", "Targets of the zone", self.zone_targets().len() as u64),
+            (
+                "usable_targets",
+                "Targets that this dispatcher may start work on",
+                core.map_or(0, |core| core.usable_targets() as u64),
+            ),
+            (
+                "open_jobs",
+                "Jobs of this dispatcher without an answer",
+                core.map_or(0, |core| core.open_jobs() as u64),
+            ),
+        ];
+        for (name, help, value) in values {
+            registry.register(name, help, ConstGauge::new(value as i64));
+        }
+    }
+}
+
+fn register_counts(registry: &mut Registry, counts: Counts) {
+    let values = [
+        ("dispatch_admitted", "Jobs let in", counts.admitted),
+        ("dispatch_refused", "Jobs refused", counts.refused),
+        ("dispatch_passed", "Jobs passed to another zone", counts.passed),
+        ("dispatch_completed", "Jobs completed", counts.completed),
+        ("dispatch_unknown", "Jobs given up that may have run", counts.unknown),
+        ("starts", "Starts sent", counts.starts),
+        ("starts_refused_for_room", "Starts refused for want of room", counts.room_refusals),
+        ("stops", "Stops sent", counts.stops),
+        ("failed_runs", "Runs that failed", counts.failures),
+        ("lapsed_runs", "Runs lost, by a lease that ran out or with their target", counts.lapses),
+        ("stragglers", "Runs stopped to start again elsewhere", counts.stragglers),
+        ("targets_set_aside", "Times that a target was set aside", counts.set_aside),
+        ("fenced", "Orders refused for a higher fencing token", counts.fenced),
+        ("takeovers", "Times that this VM became the dispatcher", counts.takeovers),
+    ];
+    for (name, help, value) in values {
+        registry.register(name, help, ConstCounter::new(value));
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,12 +8,13 @@
 pub mod entry;
 pub mod follow;
 pub mod handover;
+pub mod metrics;
 pub mod notes;
 pub mod own;
 
 use crate::{
     coordination::dispatch::{
-        Order, Spare,
+        Counts, Order, Spare,
         own::Hold,
         replies::{HoldError, StartReply, StopReply},
     },
@@ -29,6 +30,7 @@
 };
 use clock::Clock;
 use indexmap::IndexMap;
+use metrics::Metrics;
 use notes::Notes;
 use own::Dispatching;
 use std::{
@@ -77,6 +79,9 @@
     fetching: Cell<bool>,
     started: Instant,
     notes: RefCell<Notes>,
+    metrics: Metrics,
+    /// Counts of the times at which this VM was the dispatcher, but for the present one.
+    past: Cell<Counts>,
 }
 
 impl<T> Node<T>
@@ -103,6 +108,8 @@
             fetching: Cell::new(false),
             started: Instant::now(),
             notes: RefCell::default(),
+            metrics: Metrics::default(),
+            past: Cell::default(),
         })
     }
 
--- a/src/fleet/notes.rs
+++ b/src/fleet/notes.rs
@@ -17,6 +17,13 @@
 impl Notes {
     /// Writes one line for a decision, unless this second has had enough of its kind.
     pub fn log(&mut self, note: &Note, now: Moment) {
+        if self.admits(kind(note), now) {
+            write(note);
+        }
+    }
+
+    /// Whether this second has room for one more line of a kind.
+    pub fn admits(&mut self, kind: &'static str, now: Moment) -> bool {
         let second = now.since_start().as_secs();
         if second != self.second {
             self.second = second;
@@ -26,11 +33,9 @@
                 }
             }
         }
-        let written = self.written.entry(kind(note)).or_default();
+        let written = self.written.entry(kind).or_default();
         *written += 1;
-        if *written <= LINES_A_SECOND {
-            write(note);
-        }
+        *written <= LINES_A_SECOND
     }
 }
 
@@ -38,6 +43,8 @@
     match note {
         Note::Admitted { .. } => "admitted",
         Note::Refused { .. } => "refused",
+        Note::Passed { .. } => "passed",
+        Note::Resent { .. } => "resent",
         Note::RunEnded { .. } => "run ended",
         Note::Straggler { .. } => "straggler",
         Note::GaveUp { .. } => "gave up",
@@ -52,8 +59,24 @@
         Note::Admitted { id, queue, expected, ahead } => {
             log::info!("dispatch: job {id} of {queue} let in, expected={expected:?} ahead={ahead}");
         }
-        Note::Refused { id, refusal, expected } => {
-            log::info!("dispatch: job {id} refused: {refusal}, expected={expected:?}");
+        Note::Refused { id, refusal, expected, age, waiting, usable } => {
+            log::info!(
+                "dispatch: job {id} refused: {refusal}, expected={expected:?} age={age:?} \
+                 waiting={waiting} usable={usable}"
+            );
+        }
+        Note::Passed { id, zone, own, free, age } => {
+            log::info!(
+                "dispatch: job {id} passed to {zone}, free={}m fast={}m heard {age:?} ago, \
+                 here free={}m fast={}m",
+                free.all,
+                free.fast,
+                own.all,
+                own.fast
+            );
+        }
+        Note::Resent { task, target, waited } => {
+            log::info!("dispatch: start of {task} on {target} sent again after {waited:?}");
         }
         Note::RunEnded { task, run, target, how } => {
             log::info!("dispatch: run {run} of {task} on {target} ended: {how}");
@@ -61,7 +84,12 @@
         Note::Straggler { task, target, after } => {
             log::info!("dispatch: {task} on {target} is a straggler after {after:?}, restarted");
         }
-        Note::GaveUp { id, reason } => log::info!("dispatch: job {id} given up: {reason}"),
+        Note::GaveUp { id, reason, age, waiting, running, scale } => {
+            log::info!(
+                "dispatch: job {id} given up: {reason}, age={age:?} waiting={waiting} \
+                 running={running} scale={scale:.2}"
+            );
+        }
         Note::SetAside { target, pause } => {
             log::warn!("targets: {target} set aside for {pause:?}");
         }
--- a/src/fleet/own.rs
+++ b/src/fleet/own.rs
@@ -129,6 +129,7 @@
         let Some(mut old) = self.dispatching.borrow_mut().take() else { return };
         log::warn!("dispatch: this VM steps down, epoch {}: {reason}", old.epoch);
         old.core.abandon();
+        self.past.set(self.past.get() + old.core.counts());
         for action in old.core.drain() {
             let Action::Answer { key, outcome, .. } = action else { continue };
             if let Some(waiter) = old.waiters.swap_remove(&key) {
