A second start that is not sent proves nothing of the first

Ruled out: stops that take longer than 50 ms (the first run's stop was sent after the second run's start). Change: once a start was sent twice, only a stop closes its run. Test: start_sent_twice_runs_nowhere_else_until_stopped failed first.

--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -109,6 +109,15 @@
                 }
             }
             StartReply::Unknown => self.unanswered(id, task, now),
+            // It tells nothing of the first start, which may still be carried out.
+            reply if run.sends > 1 => {
+                match reply {
+                    StartReply::Refused(StartRefusal::OtherLife, _) => self.other_life(id, now),
+                    StartReply::Refused(StartRefusal::Fenced, _) => self.fenced(id),
+                    _ => self.blame(id, now),
+                }
+                self.stop_run(task, id, now);
+            }
             StartReply::NotSent => {
                 self.silent(id, now);
                 self.close_run(task, number, id, HowEnded::Stopped, now);
--- a/tests/dispatch/runs.rs
+++ b/tests/dispatch/runs.rs
@@ -44,6 +44,18 @@
     assert_eq!(world.outcome(key), Some(Outcome::Completed));
 }
 
+/// Seen on a small twin with weak links: the first start had been carried out, the second could not be
+/// sent, and the task was started elsewhere at once.
+#[test]
+fn start_sent_twice_runs_nowhere_else_until_stopped() {
+    let mut world = World::new(3).started();
+    world.target(0).mood = Mood::BreaksAfterStart;
+    let key = world.submit(work(1, URGENT, 6, ms(60)));
+    world.run(ms(400));
+    assert_eq!(world.doubles, []);
+    assert_eq!(world.outcome(key), Some(Outcome::Completed));
+}
+
 #[test]
 fn refusal_names_only_jobs_that_never_started() {
     let mut world = World::new(1).started();
--- a/tests/dispatch/world.rs
+++ b/tests/dispatch/world.rs
@@ -106,6 +106,9 @@
     LosesStops,
     /// The first start of each task is not carried out, and not answered.
     LosesFirstStarts,
+    /// Starts are carried out, the answer to the first is lost, and no connection can be made for the
+    /// second.
+    BreaksAfterStart,
     /// One hold in twelve has no answer.
     LosesHolds,
     /// Nothing is answered, but what runs goes on.
@@ -411,6 +414,7 @@
         } else if target.runs.get(&order.task).is_some_and(|run| run.number == order.run) {
             match target.mood {
                 Mood::LosesStartAnswers => StartReply::Unknown,
+                Mood::BreaksAfterStart => StartReply::NotSent,
                 _ => StartReply::Started(clock),
             }
         } else if used + 14_000 > 32_000 {
@@ -427,7 +431,7 @@
             target.starts.push((order.task, now));
             target.lease = target.lease.max(Moment::new(ms(until.0)));
             match target.mood {
-                Mood::LosesStartAnswers => StartReply::Unknown,
+                Mood::LosesStartAnswers | Mood::BreaksAfterStart => StartReply::Unknown,
                 _ => StartReply::Started(clock),
             }
         };
