--- a/src/coordination/action.rs
+++ b/src/coordination/action.rs
@@ -185,3 +185,16 @@
         }
     }
 }
+
+impl Event {
+    /// What the time line says of an answer.
+    pub(super) fn of_answer(job: JobNumber, answer: &Answer) -> Self {
+        match answer {
+            Answer::Complete { .. } => Event::Completed { job },
+            Answer::Failed { reason, .. } => Event::Failed { job, reason: *reason },
+            Answer::NotRun { reason, retry_after_ms } => {
+                Event::Refused { job, reason: *reason, retry_after_ms: *retry_after_ms }
+            }
+        }
+    }
+}
--- a/src/coordination/configuration.rs
+++ b/src/coordination/configuration.rs
@@ -1,5 +1,9 @@
 //! The configuration in force: its version only ever rises.
 
+use super::{
+    action::{Action, Event},
+    core::Core,
+};
 use crate::state::id::{ConfigVersion, TeamName};
 use derive_more::{Display, Error};
 use indexmap::IndexMap;
@@ -179,3 +183,27 @@
         &self.row
     }
 }
+
+impl Core {
+    /// Offers a configuration row; only a higher version is taken over.
+    pub fn offer_config(&self, row: ConfigRow, out: &mut Vec<Action>) -> bool {
+        let mut config = self.config.lock();
+        let version = row.version;
+        if !config.offer(row) {
+            return false;
+        }
+        self.scheduler.lock().configure(&config.row().document.configuration);
+        out.push(Action::Note(Event::ConfigInForce { version }));
+        true
+    }
+
+    /// The configuration row in force.
+    pub fn config(&self) -> ConfigRow {
+        self.config.lock().row().clone()
+    }
+
+    /// The version in force.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.config.lock().row().version
+    }
+}
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -3,13 +3,13 @@
 use super::{
     action::{Action, Event, StartOrder},
     admission::Refusal,
-    configuration::{ConfigRow, InForce},
+    configuration::InForce,
     lookup::{Lookup, SubmitError},
     members::Members,
     scheduler::{Assignment, Scheduler},
 };
 use crate::state::{
-    id::{ConfigVersion, Issuer, JobId, JobNumber, TaskRef, VmName, WorkerName},
+    id::{Issuer, JobId, JobNumber, TaskRef, VmName, WorkerName},
     job::{
         Answer, Digest, FailReason, Job, JobSpec, RefuseReason, StartResult, TaskReport, TaskState,
     },
@@ -276,7 +276,7 @@
         if let Some(job) = shard.close(number, digest, Arc::clone(&answer)) {
             self.scheduler.lock().close(number, &job.spec, job.deadline, answer.bytes());
         }
-        out.push(Action::Note(answer_event(number, &answer)));
+        out.push(Action::Note(Event::of_answer(number, &answer)));
         out.push(Action::Answer { number, answer: Arc::clone(&answer) });
         answer
     }
@@ -451,28 +451,6 @@
         }
     }
 
-    /// Offers a configuration row; only a higher version is taken over.
-    pub fn offer_config(&self, row: ConfigRow, out: &mut Vec<Action>) -> bool {
-        let mut config = self.config.lock();
-        let version = row.version;
-        if !config.offer(row) {
-            return false;
-        }
-        self.scheduler.lock().configure(&config.row().document.configuration);
-        out.push(Action::Note(Event::ConfigInForce { version }));
-        true
-    }
-
-    /// The configuration row in force.
-    pub fn config(&self) -> ConfigRow {
-        self.config.lock().row().clone()
-    }
-
-    /// The version in force.
-    pub fn config_version(&self) -> ConfigVersion {
-        self.config.lock().row().version
-    }
-
     /// Calls `f` with the membership.
     pub fn with_members<T, F>(&self, f: F) -> T
     where
@@ -514,16 +492,6 @@
     let retry_after_ms = refusal.retry_after.as_millis() as u64;
     let answer = Arc::new(Answer::NotRun { reason: refusal.reason, retry_after_ms });
     shard.close(number, digest, Arc::clone(&answer));
-    out.push(Action::Note(answer_event(number, &answer)));
+    out.push(Action::Note(Event::of_answer(number, &answer)));
     answer
 }
-
-fn answer_event(job: JobNumber, answer: &Answer) -> Event {
-    match answer {
-        Answer::Complete { .. } => Event::Completed { job },
-        Answer::Failed { reason, .. } => Event::Failed { job, reason: *reason },
-        Answer::NotRun { reason, retry_after_ms } => {
-            Event::Refused { job, reason: *reason, retry_after_ms: *retry_after_ms }
-        }
-    }
-}
--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -1,7 +1,7 @@
 //! Which jobs are let in, passed to another zone, or refused at once.
 
 use super::{
-    Action, Dispatch, JobKey, LONGEST_LEASE, MAX_JOBS, Neighbour, Note, Parked, Rank,
+    Action, Dispatch, JobKey, LONGEST_LEASE, MAX_JOBS, Neighbour, Note, Parked, Rank, Spare,
     job::Job,
     replies::{STOP_MARGIN, STOP_TIME},
 };
@@ -127,13 +127,9 @@
         let cpu: u64 = job.work.steps.iter().map(|s| s.needs.cpu.0 * u64::from(s.count)).sum();
         let late = end.is_none_or(|end| end > job.objective);
         let zone = match origin {
-            Origin::Caller if job.is_hard() => self.fast_neighbour(cpu, now),
-            _ => None,
+            Origin::Caller => self.better_zone(&job, late, cpu, now),
+            Origin::OtherZone | Origin::Earlier => None,
         };
-        let crowded = origin == Origin::Caller && !job.is_hard() && self.spare(now).all < cpu;
-        let zone = zone.or_else(|| crowded.then(|| self.roomy_neighbour(cpu, now)).flatten());
-        let elsewhere = late && origin == Origin::Caller;
-        let zone = zone.or_else(|| elsewhere.then(|| self.free_neighbour(cpu, now)).flatten());
         if let Some(zone) = zone {
             return self.pass(key, id, zone, cpu, now);
         }
@@ -180,28 +176,28 @@
         job
     }
 
-    fn free_neighbour(&self, cpu: u64, now: Moment) -> Option<ZoneName> {
-        let fresh =
-            |n: &Neighbour| now - n.heard <= NEIGHBOUR_AGE && n.free.all >= cpu / PASS_SHARE;
-        let free = self.neighbours.iter().filter(|(_, n)| fresh(n));
-        free.max_by_key(|(_, n)| n.free.all).map(|(zone, _)| zone.clone())
+    /// The zone that should run a job which takes `cpu` in all, if it is not this one; `late` if it
+    /// would miss its objective here.
+    fn better_zone(&self, job: &Job, late: bool, cpu: u64, now: Moment) -> Option<ZoneName> {
+        let spare = self.spare(now);
+        let fast = job.is_hard() && spare.fast < cpu;
+        let crowded = !job.is_hard() && spare.all < cpu;
+        let by_fast = || self.neighbour_with(cpu, now, |free| free.fast);
+        let by_room = || self.neighbour_with(cpu * AMPLE, now, |free| free.all);
+        let by_need = || self.neighbour_with(cpu / PASS_SHARE, now, |free| free.all);
+        let zone = if fast { by_fast() } else { None };
+        let zone = zone.or_else(|| if crowded { by_room() } else { None });
+        zone.or_else(|| if late { by_need() } else { None })
     }
 
-    /// A zone that has ample room for a job.
-    fn roomy_neighbour(&self, cpu: u64, now: Moment) -> Option<ZoneName> {
-        let fits = |n: &Neighbour| now - n.heard <= NEIGHBOUR_AGE && n.free.all >= cpu * AMPLE;
-        let roomy = self.neighbours.iter().filter(|(_, n)| fits(n));
-        roomy.max_by_key(|(_, n)| n.free.all).map(|(zone, _)| zone.clone())
-    }
-
-    /// A zone whose fast targets have room for a job with a hard deadline, where ours have none.
-    fn fast_neighbour(&self, cpu: u64, now: Moment) -> Option<ZoneName> {
-        if self.spare(now).fast >= cpu {
-            return None;
-        }
-        let fits = |n: &Neighbour| now - n.heard <= NEIGHBOUR_AGE && n.free.fast >= cpu;
-        let fast = self.neighbours.iter().filter(|(_, n)| fits(n));
-        fast.max_by_key(|(_, n)| n.free.fast).map(|(zone, _)| zone.clone())
+    /// The zone with the most room of a kind, and at least `least`.
+    fn neighbour_with<F>(&self, least: u64, now: Moment, room: F) -> Option<ZoneName>
+    where
+        F: Fn(Spare) -> u64,
+    {
+        let fits = |n: &Neighbour| now - n.heard <= NEIGHBOUR_AGE && room(n.free) >= least;
+        let found = self.neighbours.iter().filter(|(_, n)| fits(n));
+        found.max_by_key(|(_, n)| room(n.free)).map(|(zone, _)| zone.clone())
     }
 
     fn pass(&mut self, key: JobKey, id: WorkId, zone: ZoneName, cpu: u64, now: Moment) {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -9,6 +9,7 @@
 pub mod admit;
 pub mod forecast;
 pub mod job;
+pub mod note;
 pub mod own;
 pub mod place;
 pub mod replies;
@@ -21,11 +22,12 @@
     speed::Speeds,
     target::{Fence, Life, Target, TargetId, TargetTime},
     time::Moment,
-    work::{Outcome, Refusal, RunNumber, TaskId, Work, WorkId},
+    work::{Outcome, RunNumber, TaskId, Work, WorkId},
 };
 use derive_more::{Add, Display};
 use indexmap::{IndexMap, IndexSet};
 use job::Job;
+pub use note::Note;
 use own::ListTrust;
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -111,113 +113,6 @@
     Note(Note),
 }
 
-/// A decision or a changed belief, for the log.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Note {
-    /// A job was let in.
-    Admitted {
-        /// The job.
-        id: WorkId,
-        /// Its queue.
-        queue: QueueName,
-        /// Expected time until it is done.
-        expected: Duration,
-        /// Tasks that wait before it.
-        ahead: usize,
-    },
-    /// A job was refused.
-    Refused {
-        /// The job.
-        id: WorkId,
-        /// Why.
-        refusal: Refusal,
-        /// Expected time until it would have been done.
-        expected: Duration,
-        /// Time since it arrived.
-        age: Duration,
-        /// Jobs that wait.
-        waiting: usize,
-        /// Targets that could be given work.
-        usable: usize,
-    },
-    /// A job was passed to another zone.
-    Passed {
-        /// The job.
-        id: WorkId,
-        /// The zone.
-        zone: ZoneName,
-        /// What is free here.
-        own: Spare,
-        /// What is free there, as last heard and less what was passed since.
-        free: Spare,
-        /// How long ago that was heard.
-        age: Duration,
-    },
-    /// A start without an answer was sent again.
-    Resent {
-        /// The task.
-        task: TaskId,
-        /// The target.
-        target: TargetId,
-        /// How long the answer was waited for.
-        waited: Duration,
-    },
-    /// A run was closed otherwise than by success.
-    RunEnded {
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: RunNumber,
-        /// The target.
-        target: TargetId,
-        /// How it ended.
-        how: &'static str,
-    },
-    /// A run was stopped since it is far behind its expected end.
-    Straggler {
-        /// The task.
-        task: TaskId,
-        /// The target.
-        target: TargetId,
-        /// How long it has run.
-        after: Duration,
-    },
-    /// A job was given up.
-    GaveUp {
-        /// The job.
-        id: WorkId,
-        /// Why.
-        reason: &'static str,
-        /// Time since it arrived.
-        age: Duration,
-        /// Tasks that wait.
-        waiting: usize,
-        /// Tasks that may be running.
-        running: usize,
-        /// How much longer its tasks run than expected.
-        scale: f64,
-    },
-    /// A target is given no work for a while.
-    SetAside {
-        /// The target.
-        target: TargetId,
-        /// For how long.
-        pause: Duration,
-    },
-    /// What is believed of a target has changed.
-    TargetIs {
-        /// The target.
-        target: TargetId,
-        /// The new belief.
-        state: &'static str,
-    },
-    /// The process was suspended; all that was in progress is given up.
-    Woke {
-        /// For how long.
-        gap: Duration,
-    },
-}
-
 /// Free processor less what waits for it, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Spare {
--- a/tests/dispatch/load.rs
+++ b/tests/dispatch/load.rs
@@ -225,3 +225,23 @@
     world.submit_as(work(4, LONG, 4, ms(900)), true, false);
     assert_eq!(world.passed.len(), 1, "{third}");
 }
+
+/// Short jobs arrive unevenly: one that would wait here goes to a zone with ample room, although it
+/// would meet its objective here too; not to one that has barely enough.
+#[test]
+fn jobs_that_would_wait_go_where_there_is_ample_room() {
+    let mut world = World::new(1).started();
+    world.submit(work(1, URGENT, 2, ms(60)));
+    let other = |name: &str| name.parse().unwrap();
+    let address = ([127, 0, 0, 1], 9_999).into();
+    let free = Spare { all: 40_000, fast: 0 };
+    world.dispatch.neighbour(other("small"), address, free, world.now);
+    let kept = world.submit_as(work(2, URGENT, 2, ms(60)), true, false);
+    assert_eq!(world.passed, []);
+    let free = Spare { all: 60_000, fast: 0 };
+    world.dispatch.neighbour(other("roomy"), address, free, world.now);
+    let passed = world.submit_as(work(3, URGENT, 2, ms(60)), true, false);
+    assert_eq!(world.passed, [(passed, address)]);
+    world.run(ms(200));
+    assert_eq!(world.outcome(kept), Some(Outcome::Completed));
+}
