Let jobs wait for the election of their zone's dispatcher

Cause: after all VMs return from a power loss, each refused every job at once with "no dispatcher can be reached" until its zone had elected one, 0.2 to 0.3 s later. Two delays made the election longer: the check whether another zone can be reached waited 120 ms for VMs that were still down although one had answered, and a VM that stepped down for a rival searched for 0.2 s for a dispatcher that had just announced itself.

Ruled out: targets that are slow to be taken over (all within 10 ms of the election), and the list of targets (read within 15 ms of the start).

A job waits while an election is probably in progress and it can still be run afterwards; a VM that has been without a dispatcher for 0.9 s is cut off and refuses at once. Another zone is asked once, on the shared connection for redirects, the zones taken in turn by job id; hints that don't answer are dropped. Probes of other zones end with the first answer, and a searching VM follows a dispatcher as soon as that announces itself.

--- /dev/null
+++ b/src/coordination/election.rs
@@ -0,0 +1,113 @@
+//! Rules of the election of a zone's dispatcher, without I/O.
+//!
+//! The VMs of a zone that has no dispatcher connect to each other in rounds. At the end of a round
+//! each decides by [`Round::decide`] whether it becomes the dispatcher.
+
+use crate::state::id::VmName;
+use std::{cmp::Reverse, time::Duration};
+
+/// A VM does not become dispatcher for this long after its start, so that it first finds a
+/// dispatcher that exists.
+const START_GRACE: Duration = Duration::from_millis(120);
+/// A VM that reaches no other one, or has no targets listed, becomes dispatcher only after its zone
+/// was without one for this long: it is probably cut off, and the other VMs have a dispatcher.
+const ISOLATION_GRACE: Duration = Duration::from_millis(2_500);
+/// Rounds after which a VM becomes dispatcher although a VM of higher rank answers.
+const MAX_ROUNDS_OUTRANKED: u32 = 8;
+
+/// A zone that has been without a dispatcher for this long has VMs that can't elect one, since they
+/// are cut off or have no configuration. An election takes a third of it.
+const MAX_ELECTION_DURATION: Duration = Duration::from_millis(900);
+/// A job is submitted to a dispatcher only if more than this is left until its deadline; the
+/// shortest jobs take about as long.
+pub const MIN_TIME_TO_RESUBMIT: Duration = Duration::from_millis(100);
+/// Time after submission during which a job may still be submitted to the next dispatcher of its
+/// zone.
+pub const MAX_DISPATCHER_SEARCH: Duration = Duration::from_millis(1_200);
+
+/// Order in which VMs become dispatcher: the one with the largest weight comes first.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    weight: Reverse<u32>,
+    vm: VmName,
+}
+
+impl Rank {
+    /// Creates the rank of a VM with this weight.
+    pub fn new(weight: u32, vm: VmName) -> Self {
+        Rank { weight: Reverse(weight), vm }
+    }
+}
+
+/// A VM of the zone that answered in a round.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Rank of the VM.
+    pub rank: Rank,
+    /// Whether the VM is about to exit.
+    pub leaving: bool,
+}
+
+/// What a VM knows at the end of a round in which it found no dispatcher.
+#[derive(Clone, Debug)]
+pub struct Round {
+    /// Rank of this VM.
+    pub rank: Rank,
+    /// Number of the round, from 1.
+    pub number: u32,
+    /// Time since the zone lost its dispatcher, or since this VM began to search for one.
+    pub missing_for: Duration,
+    /// Time since the start of this VM's process.
+    pub uptime: Duration,
+    /// Whether this VM can dispatch: it has a configuration and is not leaving.
+    pub is_able: bool,
+    /// Whether this VM knows targets of the zone.
+    pub has_targets: bool,
+    /// Number of other VMs that are known in the zone.
+    pub known_peers: usize,
+    /// VMs of the zone that answered.
+    pub answers: Vec<Answer>,
+}
+
+/// What a VM does after a round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It begins the next round.
+    Wait,
+    /// It becomes dispatcher if it reaches a VM of another zone, since it is cut off otherwise.
+    BecomeIfConnected,
+    /// It becomes dispatcher.
+    Become,
+}
+
+impl Round {
+    /// Decides what this VM does after the round.
+    pub fn decide(&self) -> Decision {
+        let waits_out_isolation = self.missing_for < ISOLATION_GRACE;
+        if !self.is_able || self.uptime < START_GRACE || !self.has_targets && waits_out_isolation {
+            return Decision::Wait;
+        }
+        let outranks = |answer: &Answer| !answer.leaving && answer.rank < self.rank;
+        if self.answers.iter().any(outranks) && self.number < MAX_ROUNDS_OUTRANKED {
+            return Decision::Wait;
+        }
+        let is_isolated = self.answers.is_empty() && self.known_peers > 0;
+        if is_isolated && waits_out_isolation {
+            return Decision::BecomeIfConnected;
+        }
+        Decision::Become
+    }
+}
+
+/// Whether a job should wait for the election of its zone's dispatcher: the election is probably in
+/// progress, and the job can still be run after it. `missing_for` is the time for which the zone
+/// has been without a dispatcher, `waited` the time since the job was submitted.
+pub fn should_await_dispatcher(
+    missing_for: Duration,
+    waited: Duration,
+    time_to_deadline: Duration,
+) -> bool {
+    missing_for < MAX_ELECTION_DURATION
+        && waited < MAX_DISPATCHER_SEARCH
+        && time_to_deadline > MIN_TIME_TO_RESUBMIT
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod configuration;
 pub mod core;
 pub mod dispatch;
+pub mod election;
 pub mod exchange;
 pub mod handover;
 pub mod lending;
--- a/src/fleet/election.rs
+++ b/src/fleet/election.rs
@@ -3,20 +3,20 @@
 
 use super::{Node, TargetClient};
 use crate::{
+    coordination::election::{Answer, Decision, Rank, Round},
     protocol::fleet::{Heartbeat, Peer},
     state::id::ZoneName,
     transport::fleet::PeerLink,
 };
-use futures_util::future::join_all;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use std::{
-    cmp::Reverse,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 use tokio::{
     task::spawn_local,
-    time::{sleep, timeout},
+    time::{sleep, timeout_at},
 };
 
 /// Interval of heartbeats on connections that carry jobs.
@@ -27,20 +27,18 @@
 const ROUND_TIMEOUT: Duration = Duration::from_millis(120);
 /// Pause between two rounds of the election.
 const ROUND_PAUSE: Duration = Duration::from_millis(30);
-/// A VM does not become dispatcher for this long after its start, so that it first finds a
-/// dispatcher that exists.
-const START_GRACE: Duration = Duration::from_millis(120);
-/// A VM that reaches no other one, or has no targets listed, becomes dispatcher only after its zone
-/// was without one for this long: it is probably cut off, and the other VMs have a dispatcher.
-const ISOLATION_GRACE: Duration = Duration::from_millis(2_500);
 /// A dispatcher hands its zone over to a VM with more than this many times its processor share.
 const HANDOVER_WEIGHT_RATIO: f64 = 1.5;
-/// Rounds after which a VM becomes dispatcher although a VM of higher rank answers.
-const MAX_ROUNDS_OUTRANKED: u32 = 8;
+/// Maximum number of VMs of other zones that a VM tries to reach, to find out whether it is cut off.
+const MAX_CONNECTIVITY_PROBES: usize = 4;
 
-/// Sort key of VMs in the election: the one with the largest processor share comes first.
-pub(super) fn rank(peer: &Peer) -> (Reverse<u32>, &str) {
-    (Reverse(peer.weight), peer.vm.as_str())
+/// Rank of a peer in the election.
+pub(super) fn rank(peer: &Peer) -> Rank {
+    Rank::new(peer.weight, peer.vm.clone())
+}
+
+fn is_dispatcher(link: &PeerLink) -> bool {
+    link.last_heartbeat().is_some_and(|heartbeat| heartbeat.is_from_dispatcher())
 }
 
 impl<T> Node<T>
@@ -112,10 +110,33 @@
         addresses: &[SocketAddr],
         interval: Duration,
     ) -> Vec<Rc<PeerLink>> {
-        let connects = addresses.iter().map(|address| async move {
-            timeout(ROUND_TIMEOUT, PeerLink::connect(self, *address, interval)).await.ok()?.ok()
-        });
-        join_all(connects).await.into_iter().flatten().collect()
+        self.connect_until(addresses, interval, |_| false).await
+    }
+
+    /// As [`Node::connect_all`], but returns as soon as it has made a connection for which `is_last`
+    /// is true, since connections to VMs that are down take the whole round.
+    async fn connect_until<F>(
+        self: &Rc<Self>,
+        addresses: &[SocketAddr],
+        interval: Duration,
+        is_last: F,
+    ) -> Vec<Rc<PeerLink>>
+    where
+        F: Fn(&PeerLink) -> bool,
+    {
+        let deadline = tokio::time::Instant::now() + ROUND_TIMEOUT;
+        let connects = addresses.iter().map(|address| PeerLink::connect(self, *address, interval));
+        let mut connects: FuturesUnordered<_> = connects.collect();
+        let mut links = Vec::new();
+        while let Ok(Some(connected)) = timeout_at(deadline, connects.next()).await {
+            let Ok(link) = connected else { continue };
+            let is_found = is_last(&link);
+            links.push(link);
+            if is_found {
+                break;
+            }
+        }
+        links
     }
 
     /// Connects to the dispatcher that the previous one named as its successor.
@@ -131,62 +152,76 @@
     /// Connects to the VMs of the zone, round by round, until one of them is the dispatcher or this
     /// VM becomes it.
     async fn find_dispatcher(self: &Rc<Self>) {
-        let lost_at = Instant::now();
+        self.dispatcher_missing_since.set(Instant::now());
         let mut rounds = 0;
         while !self.is_dispatcher() && self.dispatcher_link().is_none() {
+            let announced = self.announced_dispatcher.take();
+            if announced.is_some() {
+                self.connect_successor(announced).await;
+                continue;
+            }
             rounds += 1;
             let peers = self.zone_peers();
             let addresses: Vec<SocketAddr> = peers.iter().map(|p| p.address).collect();
-            let links = self.connect_all(&addresses, HEARTBEAT_INTERVAL).await;
+            let links = tokio::select! {
+                links = self.connect_until(&addresses, HEARTBEAT_INTERVAL, is_dispatcher) => links,
+                () = self.dispatcher_announced.notified() => continue,
+            };
             if let Some(link) = best_dispatcher(&links) {
                 log::info!("peers: following the dispatcher at {}", link.address);
                 *self.dispatcher_link.borrow_mut() = Some(link);
                 return;
             }
-            if self.may_become_dispatcher(&links, peers.len(), lost_at, rounds).await {
-                self.become_dispatcher(Vec::new());
-                return;
+            let may_become = match self.election_round(&links, peers.len(), rounds).decide() {
+                Decision::Wait => false,
+                Decision::BecomeIfConnected => self.reaches_other_zone().await,
+                Decision::Become => true,
+            };
+            if may_become {
+                return self.become_dispatcher(Vec::new());
             }
             sleep(ROUND_PAUSE).await;
         }
     }
 
-    /// Whether this VM may become the dispatcher of its zone. `links` are the connections of this
-    /// round, `peer_count` the number of VMs known in the zone, `lost_at` the moment since which
-    /// it has no dispatcher, `rounds` the number of rounds since then.
-    async fn may_become_dispatcher(
-        self: &Rc<Self>,
-        links: &[Rc<PeerLink>],
-        peer_count: usize,
-        lost_at: Instant,
-        rounds: u32,
-    ) -> bool {
-        if self.config().is_none() || self.is_leaving() || self.started.elapsed() < START_GRACE {
-            return false;
-        }
-        if self.zone_targets().is_empty() && lost_at.elapsed() < ISOLATION_GRACE {
-            return false;
+    /// What this VM knows after a round of the election. `links` are the connections made in it,
+    /// `known_peers` the number of VMs known in the zone.
+    fn election_round(&self, links: &[Rc<PeerLink>], known_peers: usize, number: u32) -> Round {
+        let heartbeats = links.iter().filter_map(|link| link.last_heartbeat());
+        let answer = |h: Heartbeat| Answer { rank: rank(&h.from), leaving: h.leaving };
+        Round {
+            rank: rank(&self.me),
+            number,
+            missing_for: self.dispatcher_missing_for(),
+            uptime: self.started.elapsed(),
+            is_able: self.config().is_some() && !self.is_leaving(),
+            has_targets: !self.zone_targets().is_empty(),
+            known_peers,
+            answers: heartbeats.map(answer).collect(),
         }
-        let heartbeats: Vec<Heartbeat> =
-            links.iter().filter_map(|link| link.last_heartbeat()).collect();
-        let staying = heartbeats.iter().filter(|h| !h.leaving);
-        let outranked = staying.into_iter().any(|h| rank(&h.from) < rank(&self.me));
-        if outranked && rounds < MAX_ROUNDS_OUTRANKED {
-            return false;
-        }
-        let isolated = heartbeats.is_empty() && peer_count > 0;
-        if isolated && lost_at.elapsed() < ISOLATION_GRACE && !self.reaches_other_zone().await {
-            return false;
+    }
+
+    /// Handles the heartbeat of another dispatcher of this zone: a VM that searches for one follows
+    /// it at once.
+    pub(super) fn on_dispatcher_announced(&self, address: SocketAddr) {
+        if !self.is_dispatcher() && self.dispatcher_link().is_none() {
+            self.announced_dispatcher.set(Some(address));
+            self.dispatcher_announced.notify_one();
         }
-        true
+    }
+
+    /// Time for which this VM has searched for its zone's dispatcher, if it has none.
+    pub(super) fn dispatcher_missing_for(&self) -> Duration {
+        self.dispatcher_missing_since.get().elapsed()
     }
 
     /// Whether a VM of another zone can be reached; true if none is known.
     async fn reaches_other_zone(self: &Rc<Self>) -> bool {
         let peers = self.peers.borrow().clone();
         let others = peers.values().filter(|p| p.zone != self.me.zone).map(|p| p.address);
-        let others: Vec<SocketAddr> = others.take(4).collect();
-        others.is_empty() || !self.connect_all(&others, IDLE_HEARTBEAT_INTERVAL).await.is_empty()
+        let others: Vec<SocketAddr> = others.take(MAX_CONNECTIVITY_PROBES).collect();
+        let links = self.connect_until(&others, IDLE_HEARTBEAT_INTERVAL, |_| true).await;
+        others.is_empty() || !links.is_empty()
     }
 
     /// While this VM is the dispatcher of its zone, keeps a connection to the dispatcher of `zone`,
@@ -247,7 +282,6 @@
 
 /// Returns the connection to the dispatcher with the highest epoch, if any peer is a dispatcher.
 fn best_dispatcher(links: &[Rc<PeerLink>]) -> Option<Rc<PeerLink>> {
-    let dispatchers =
-        links.iter().filter(|l| l.last_heartbeat().is_some_and(|h| h.is_from_dispatcher()));
+    let dispatchers = links.iter().filter(|link| is_dispatcher(link));
     dispatchers.max_by_key(|l| l.last_heartbeat().map_or(0, |h| h.epoch)).cloned()
 }
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -2,8 +2,11 @@
 
 use super::{Node, TargetClient, election};
 use crate::{
+    coordination::election::{
+        MAX_DISPATCHER_SEARCH, MIN_TIME_TO_RESUBMIT, should_await_dispatcher,
+    },
     protocol::fleet::DispatchReply,
-    state::job_submission::{JobSubmission, Outcome, Refusal},
+    state::job_submission::{CallerJobId, JobSubmission, Outcome, Refusal},
     transport::{
         fleet::{DispatchOptions, PeerLink},
         rpc::RpcError,
@@ -14,23 +17,28 @@
     rc::{Rc, Weak},
     time::{Duration, Instant},
 };
-use tokio::{sync::OnceCell, task::spawn_local, time::sleep};
+use tokio::{
+    sync::OnceCell,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
 /// Retry delay sent to callers while no dispatcher is known: about the time that the election of
 /// one takes.
 const NO_DISPATCHER_RETRY: Duration = Duration::from_millis(700);
+/// Outcome of a job for which no dispatcher can be reached.
+const NO_DISPATCHER: Outcome =
+    Outcome::NotRun { refusal: Refusal::NoDispatcher, retry_after: NO_DISPATCHER_RETRY };
 
-/// A job is submitted again, to another dispatcher, only if more than this is left until its
-/// deadline; the shortest jobs take about as long.
-const MIN_TIME_TO_RESUBMIT: Duration = Duration::from_millis(100);
-/// Time after submission during which a job may still be submitted to the next dispatcher of its
-/// zone: about the time that the election of one takes.
-const MAX_DISPATCHER_SEARCH: Duration = Duration::from_millis(1_200);
 /// A stopping process answers its last jobs this long before it exits.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// Interval at which a job checks whether its zone has a dispatcher.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Longest wait for a connection to another zone's dispatcher while this zone has none; round trips
+/// take a few milliseconds.
+const OTHER_ZONE_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A connection for redirected jobs is closed after this time without such a job.
 const REDIRECT_LINK_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -87,6 +95,10 @@
                 }
                 Ok(DispatchReply::Ended(Outcome::NotRun { refusal: Refusal::Closed, .. }))
                     if can_resubmit => {}
+                Ok(DispatchReply::Ended(Outcome::NotRun {
+                    refusal: Refusal::NoDispatcher,
+                    ..
+                })) if !options.resumed && self.awaits_dispatcher(&submission, begun) => {}
                 Ok(DispatchReply::Ended(Outcome::NotRun { .. })) if options.resumed => {
                     return Outcome::Unknown;
                 }
@@ -100,10 +112,17 @@
                 }
                 Err(_) => return Outcome::Unknown,
             }
-            self.wait_for_dispatcher(begun).await;
+            self.wait_for_dispatcher(&submission, options, begun).await;
         }
     }
 
+    /// Whether a job should wait for the election of this zone's dispatcher.
+    fn awaits_dispatcher(&self, submission: &JobSubmission, begun: Instant) -> bool {
+        let waited = begun.elapsed();
+        let time_to_deadline = submission.time_to_deadline.saturating_sub(waited);
+        should_await_dispatcher(self.dispatcher_missing_for(), waited, time_to_deadline)
+    }
+
     /// Time left in which this process can still send an answer before it exits; unlimited if it is
     /// not stopping.
     fn time_to_exit(&self) -> Duration {
@@ -112,13 +131,20 @@
         })
     }
 
-    /// Waits until this zone has a dispatcher, at most until [`MAX_DISPATCHER_SEARCH`] has passed
-    /// since `begun`.
-    async fn wait_for_dispatcher(self: &Rc<Self>, begun: Instant) {
+    /// Waits until this zone has a dispatcher. A job that has not run waits only while an election is
+    /// probably in progress; others wait at most until [`MAX_DISPATCHER_SEARCH`] has passed since
+    /// `begun`, since no other zone can run them.
+    async fn wait_for_dispatcher(
+        self: &Rc<Self>,
+        submission: &JobSubmission,
+        options: DispatchOptions,
+        begun: Instant,
+    ) {
         sleep(SEARCH_INTERVAL).await;
         while !self.is_dispatcher()
             && self.dispatcher_link().is_none()
             && begun.elapsed() < MAX_DISPATCHER_SEARCH
+            && (options.resumed || self.awaits_dispatcher(submission, begun))
         {
             sleep(SEARCH_INTERVAL).await;
         }
@@ -140,12 +166,14 @@
         if options.resumed {
             return Ok(DispatchReply::Ended(Outcome::Unknown));
         }
-        let Some(link) = self.any_zone_link().await else {
-            let refusal = Refusal::NoDispatcher;
-            let retry_after = NO_DISPATCHER_RETRY;
-            return Ok(DispatchReply::Ended(Outcome::NotRun { refusal, retry_after }));
+        let outcome = match self.any_zone_link(submission.id).await {
+            Some(link) => run_redirected(&link, submission).await,
+            None => NO_DISPATCHER,
         };
-        Ok(DispatchReply::Ended(run_redirected(&link, submission).await))
+        // This zone may still run a job that the other one refuses.
+        let outcome =
+            if matches!(outcome, Outcome::NotRun { .. }) { NO_DISPATCHER } else { outcome };
+        Ok(DispatchReply::Ended(outcome))
     }
 
     /// Submits a job to the dispatcher of another zone, to which this zone's redirected it.
@@ -154,7 +182,7 @@
             Ok(link) => run_redirected(&link, submission).await,
             Err(e) => {
                 log::info!("entry: job {} not redirected to {to}: {e}", submission.id);
-                Outcome::NotRun { refusal: Refusal::NoDispatcher, retry_after: NO_DISPATCHER_RETRY }
+                NO_DISPATCHER
             }
         }
     }
@@ -190,26 +218,23 @@
         }
     }
 
-    /// Returns a connection to the dispatcher of any other zone, or `None` if none can be reached.
-    async fn any_zone_link(self: &Rc<Self>) -> Option<Rc<PeerLink>> {
-        let open = self.zone_links.borrow().values().find(|link| !link.is_closed()).cloned();
-        if open.is_some() {
-            return open;
-        }
+    /// Returns a connection to the dispatcher of another zone, or `None` if none can be reached. Jobs
+    /// are spread over the zones by their ids.
+    async fn any_zone_link(self: &Rc<Self>, id: CallerJobId) -> Option<Rc<PeerLink>> {
         let hints: Vec<_> = self
             .dispatcher_hints
             .borrow()
             .iter()
             .map(|(zone, address)| (zone.clone(), *address))
             .collect();
-        for (zone, address) in hints {
-            match PeerLink::connect(self, address, election::HEARTBEAT_INTERVAL).await {
-                Ok(link) => {
-                    self.zone_links.borrow_mut().insert(zone, Rc::clone(&link));
-                    return Some(link);
-                }
+        let first = id.0 as usize % hints.len().max(1);
+        for (zone, address) in hints.iter().cycle().skip(first).take(hints.len()) {
+            let connecting = timeout(OTHER_ZONE_CONNECT_TIMEOUT, self.redirect_link(*address));
+            match connecting.await.unwrap_or(Err(RpcError::Timeout)) {
+                Ok(link) => return Some(link),
                 Err(e) => log::info!("links: dispatcher of {zone} at {address} not reached: {e}"),
             }
+            self.dispatcher_hints.borrow_mut().retain(|_, hint| hint != address);
         }
         None
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -72,6 +72,12 @@
     known_targets: RefCell<KnownTargets>,
     /// Signals that the list of targets should be read at once.
     targets_wanted: Notify,
+    /// When this VM last began to search for its zone's dispatcher.
+    dispatcher_missing_since: Cell<Instant>,
+    /// Address of a dispatcher of this zone that has announced itself during the search.
+    announced_dispatcher: Cell<Option<SocketAddr>>,
+    /// Signals that [`Node::announced_dispatcher`] is set.
+    dispatcher_announced: Notify,
     /// State of the dispatcher, while this VM is its zone's.
     dispatcher: RefCell<Option<DispatcherState>>,
     /// Connection to the dispatcher of this VM's zone, while that is another VM.
@@ -109,6 +115,9 @@
             peers: RefCell::default(),
             known_targets: RefCell::default(),
             targets_wanted: Notify::new(),
+            dispatcher_missing_since: Cell::new(Instant::now()),
+            announced_dispatcher: Cell::default(),
+            dispatcher_announced: Notify::new(),
             dispatcher: RefCell::default(),
             dispatcher_link: RefCell::default(),
             zone_links: RefCell::default(),
@@ -213,7 +222,7 @@
         let peers = self.peers.borrow();
         let mut found: Vec<Peer> =
             peers.values().filter(|p| p.zone == self.me.zone).cloned().collect();
-        found.sort_by(|a, b| election::rank(a).cmp(&election::rank(b)));
+        found.sort_by_key(election::rank);
         found
     }
 
@@ -347,6 +356,7 @@
             }
             if heartbeat.is_from_dispatcher() {
                 self.resolve_rival(&heartbeat);
+                self.on_dispatcher_announced(heartbeat.from.address);
             }
         } else if heartbeat.is_from_dispatcher() {
             self.dispatcher_hints
--- /dev/null
+++ b/tests/election.rs
@@ -0,0 +1,97 @@
+//! Rules of the election of a zone's dispatcher, and which jobs wait for it.
+
+use cranberrytray::coordination::election::{
+    Answer, Decision, Rank, Round, should_await_dispatcher,
+};
+use std::time::Duration;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn rank(weight: u32, vm: &str) -> Rank {
+    Rank::new(weight, vm.parse().unwrap())
+}
+
+/// First round of a VM of the middle rank whose zone lost its dispatcher.
+fn round() -> Round {
+    Round {
+        rank: rank(300, "b"),
+        number: 1,
+        missing_for: ms(130),
+        uptime: ms(60_000),
+        is_able: true,
+        has_targets: true,
+        known_peers: 2,
+        answers: vec![Answer { rank: rank(90, "c"), leaving: false }],
+    }
+}
+
+#[test]
+fn decide_strongest_vm_that_answers_becomes_dispatcher() {
+    assert_eq!(round().decide(), Decision::Become);
+    for stronger in [rank(500, "z"), rank(300, "a")] {
+        let answers = vec![Answer { rank: stronger, leaving: false }];
+        assert_eq!(Round { answers, ..round() }.decide(), Decision::Wait);
+    }
+}
+
+#[test]
+fn decide_leaving_vm_does_not_outrank() {
+    let answers = vec![Answer { rank: rank(500, "a"), leaving: true }];
+    assert_eq!(Round { answers, ..round() }.decide(), Decision::Become);
+}
+
+#[test]
+fn decide_stronger_vm_that_never_becomes_dispatcher_is_passed_over() {
+    let answers = vec![Answer { rank: rank(500, "a"), leaving: false }];
+    assert_eq!(Round { answers, number: 8, ..round() }.decide(), Decision::Become);
+}
+
+#[test]
+fn decide_new_process_first_looks_for_a_dispatcher() {
+    assert_eq!(Round { uptime: ms(100), ..round() }.decide(), Decision::Wait);
+}
+
+#[test]
+fn decide_vm_without_configuration_waits() {
+    assert_eq!(
+        Round { is_able: false, missing_for: ms(9_000), ..round() }.decide(),
+        Decision::Wait
+    );
+}
+
+#[test]
+fn decide_isolated_vm_needs_another_zone_or_time() {
+    let alone = Round { answers: Vec::new(), ..round() };
+    assert_eq!(alone.decide(), Decision::BecomeIfConnected);
+    assert_eq!(Round { missing_for: ms(2_600), ..alone }.decide(), Decision::Become);
+}
+
+#[test]
+fn decide_vm_without_targets_waits_for_the_list() {
+    let without = Round { has_targets: false, ..round() };
+    assert_eq!(without.decide(), Decision::Wait);
+    assert_eq!(Round { missing_for: ms(2_600), ..without }.decide(), Decision::Become);
+}
+
+/// All VMs of a site return at once and callers arrive before the first dispatcher is elected: the
+/// jobs wait for it, as an election takes less time than the job has.
+#[test]
+fn await_dispatcher_all_vms_return_at_once() {
+    for missing_for in [ms(0), ms(280), ms(600)] {
+        assert!(should_await_dispatcher(missing_for, ms(0), ms(1_500)));
+    }
+}
+
+/// A VM that can't reach its zone's dispatcher refuses at once instead of holding jobs until their
+/// deadline.
+#[test]
+fn await_dispatcher_vm_is_cut_off() {
+    assert!(!should_await_dispatcher(ms(1_000), ms(0), ms(1_500)));
+}
+
+#[test]
+fn await_dispatcher_deadline_is_near() {
+    assert!(!should_await_dispatcher(ms(100), ms(0), ms(80)));
+}
