Count slow runs as faults of their targets

The slowness of a target was learned with a weight of 0.08 a run, so that dozens of tasks were placed by the old speed; and among targets that meet the objective the slowest is preferred.

Tried and dropped: a weight of 0.5 for large changes of speed, with the job's own run time taken from its other tasks.

Change: a run that takes, or by its progress will take, 2.5 times its expected time is a fault of its target, and two faults eject it as before, with the same backoff. If another task of the job took the usual time, the run counts as both faults. Not while replies are lost, and not before 30 runs of the queue are known.

--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -40,6 +40,9 @@
     pub done: bool,
     /// Whether a run of it was stopped as a straggler; at most one per task is.
     pub restarted: bool,
+    /// Run time of its last run, relative to what is expected for its queue, its declared time and
+    /// its target; `None` before the end of the run is known or projected.
+    pub run_time_ratio: Option<f64>,
 }
 
 /// An admitted job.
@@ -95,6 +98,12 @@
         self.log_run_time_ratio.unwrap_or_default().exp()
     }
 
+    /// Lowest run time ratio of the tasks other than `task`; `None` if none is known.
+    pub fn min_run_time_ratio_of_others(&self, task: TaskId) -> Option<f64> {
+        let others = self.tasks.iter().filter(|(id, _)| **id != task);
+        others.filter_map(|(_, state)| state.run_time_ratio).min_by(f64::total_cmp)
+    }
+
     /// Whether so many tasks wait that an answer in time to another caller is worth more than the
     /// late answer to this one.
     fn has_many_waiting_tasks(&self) -> bool {
--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -81,6 +81,15 @@
         /// Time since the run was started.
         after: Duration,
     },
+    /// A run shows that its target has become slow.
+    SlowRun {
+        /// Task of the run.
+        task: TaskId,
+        /// Target of the run.
+        target: TargetId,
+        /// Run time relative to what is expected on this target.
+        ratio: f64,
+    },
     /// A job was abandoned.
     Abandoned {
         /// Job id chosen by the caller.
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -31,7 +31,7 @@
 const RENEWAL_TIMEOUT_MARGIN: Duration = Duration::from_millis(20);
 /// Share of unanswered lease renewals above which targets are asked to answer sooner; normally no
 /// answer is lost.
-const HIGH_LOSS_RATE: f64 = 0.01;
+pub(super) const HIGH_LOSS_RATE: f64 = 0.01;
 /// With a high loss rate, a target is asked to answer this long after the next expected end of a
 /// run.
 const EXPECTED_END_MARGIN: Duration = Duration::from_millis(10);
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -259,6 +259,7 @@
             expected_end: now + best.run_time,
             progress_percent: 0,
             min_projected_duration: None,
+            slow: false,
         };
         target.add_run(task, run);
         let spec = job.submission.spec.clone();
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -321,7 +321,7 @@
     /// Updates the expected ends of runs from their reported progress.
     fn update_progress(&mut self, id: &TargetId, report: &TargetReport, now: Moment) {
         let Some(target) = self.targets.get_mut(id) else { return };
-        let mut ratios = Vec::new();
+        let mut projections = Vec::new();
         for running in &report.running {
             let known = target.runs.get_mut(&running.task);
             let Some(run) = known.filter(|run| run.number == running.run) else { continue };
@@ -337,15 +337,18 @@
                 run.min_projected_duration.map_or(duration, |shortest| shortest.min(duration)),
             );
             if is_first && let Some(key) = run.job {
-                ratios.push((
-                    SubmissionKey(key),
-                    duration.as_secs_f64() / run.expected_duration.as_secs_f64().max(1e-3),
-                ));
+                projections.push((SubmissionKey(key), running.task, duration, run.clone()));
             }
         }
-        for (key, ratio) in ratios {
+        for (key, task, duration, run) in projections {
+            let expected = run.expected_duration.as_secs_f64().max(1e-3);
             if let Some(job) = self.jobs.get_mut(&key) {
-                job.learn_run_time_ratio(ratio);
+                job.learn_run_time_ratio(duration.as_secs_f64() / expected);
+            }
+            if self.check_target_speed(key, task, id, &run, duration, now)
+                && let Some(run) = self.targets.get_mut(id).and_then(|t| t.runs.get_mut(&task))
+            {
+                run.slow = true;
             }
         }
     }
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Action, Dispatcher, LEASE_DURATION, LogEvent, MAX_LEASE_DURATION, SubmissionKey,
+    ownership::HIGH_LOSS_RATE,
     replies::{MIN_PROGRESS_PERCENT, STOP_MARGIN},
 };
 use crate::state::{
@@ -263,8 +264,11 @@
             let declared = job.step(task).and_then(|s| s.declared);
             let done = job.is_done();
             self.update_queue(key);
+            let duration = now - run.start_sent_at;
+            if run.slow || !self.check_target_speed(key, task, target_id, run, duration, now) {
+                self.record_success(target_id);
+            }
             self.learn_run_time(&queue, declared, target_id, run, now);
-            self.record_success(target_id);
             if done {
                 self.finish_job(key, Outcome::Completed);
             }
@@ -291,6 +295,48 @@
         self.update_queue(key);
     }
 
+    /// Counts a fault of the target if a run that takes, or took, `duration` shows that the target
+    /// has become slow. Returns whether it does.
+    pub(super) fn check_target_speed(
+        &mut self,
+        key: SubmissionKey,
+        task: TaskId,
+        target_id: &TargetId,
+        run: &Run,
+        duration: Duration,
+        now: Moment,
+    ) -> bool {
+        let is_lossy = self.renewal_loss_rate > HIGH_LOSS_RATE;
+        if run.start_attempts > 1 || is_lossy {
+            return false; // Neither the start nor the end of the run is known well.
+        }
+        let Some(job) = self.jobs.get_mut(&key) else { return false };
+        let Some(step) = job.step(task) else { return false };
+        let Some(target) = self.targets.get(target_id) else { return false };
+        let queue = &job.submission.queue;
+        let declared = step.declared.map(|d| d.as_millis() as u64);
+        let slowness = self.run_times.slowness(&target.info.kind)
+            * target.slowness.min(*TYPICAL_SLOWNESS.end());
+        let expected = self.run_times.expected_seconds(queue, declared) * slowness;
+        let is_queue_known = self.run_times.observations(queue) >= MIN_QUEUE_OBSERVATIONS;
+        let ratio = duration.as_secs_f64() / expected.max(1e-3);
+        let is_job_usual =
+            job.min_run_time_ratio_of_others(task).is_some_and(|other| other < USUAL_RATIO);
+        if let Some(task_state) = job.tasks.get_mut(&task) {
+            task_state.run_time_ratio = Some(ratio);
+        }
+        if ratio < SLOW_RUN_RATIO || !is_job_usual && !is_queue_known {
+            return false;
+        }
+        self.log(LogEvent::SlowRun { task, target: target_id.clone(), ratio });
+        self.record_fault(target_id, now);
+        if is_job_usual {
+            // The job's other tasks show that the run is slow because of its target.
+            self.record_fault(target_id, now);
+        }
+        true
+    }
+
     fn learn_run_time(
         &mut self,
         queue: &crate::state::fleet_config::QueueName,
@@ -318,6 +364,13 @@
     }
 }
 
+/// A run that takes this many times as long as expected counts as a fault of its target. Fewer than
+/// one job in a hundred takes so long for a reason of its own.
+const SLOW_RUN_RATIO: f64 = 2.5;
+/// A task with a lower run time ratio than this shows that its job takes no unusual time.
+const USUAL_RATIO: f64 = 1.6;
+/// Number of runs of a queue after which its run times are known well enough to recognize slow runs.
+const MIN_QUEUE_OBSERVATIONS: f64 = 30.0;
 /// Range of the slowness of targets that their kind's estimate is learned from; others are
 /// outliers.
 const TYPICAL_SLOWNESS: RangeInclusive<f64> = 0.6..=1.7;
--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -54,6 +54,7 @@
         LogEvent::StartResent { .. } => "resent",
         LogEvent::RunEnded { .. } => "run ended",
         LogEvent::Straggler { .. } => "straggler",
+        LogEvent::SlowRun { .. } => "slow run",
         LogEvent::Abandoned { .. } => "gave up",
         LogEvent::Ejected { .. } => "set aside",
         LogEvent::TargetStateChanged { .. } => "target",
@@ -93,6 +94,9 @@
         LogEvent::Straggler { task, target, after } => {
             log::info!("dispatch: {task} on {target} is a straggler after {after:?}, restarted");
         }
+        LogEvent::SlowRun { task, target, ratio } => {
+            log::info!("dispatch: {task} on {target} takes {ratio:.1} times the expected run time");
+        }
         LogEvent::Abandoned { id, reason, age, waiting, running, scale } => {
             log::info!(
                 "dispatch: job {id} abandoned: {reason}, age={age:?} waiting={waiting} \
--- a/src/state/run_time.rs
+++ b/src/state/run_time.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Number of observed runs of a job type.
+    pub fn observations(&self, job_type: &J) -> f64 {
+        self.types.get(job_type).map_or(0.0, |model| model.observations)
+    }
+
     /// Records that a task ran on a worker for `seconds`.
     pub fn observe(&mut self, job_type: &J, declared_ms: Option<u64>, worker: &W, seconds: f64) {
         let predicted = ln_seconds(self.expected_seconds(job_type, declared_ms));
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -180,6 +180,8 @@
     /// Shortest total run time projected from the progress so far; `None` until the progress is
     /// known well enough. A much longer projection later shows that the run has stalled.
     pub min_projected_duration: Option<Duration>,
+    /// Whether its progress showed that its target is slow.
+    pub slow: bool,
 }
 
 /// A reading of a target's clock.
--- a/tests/dispatch/load.rs
+++ b/tests/dispatch/load.rs
@@ -267,3 +267,29 @@
     let redirected = sim.submit_with(submission(4, URGENT, 2, ms(60)), true, false);
     assert_eq!(sim.redirected, [(redirected, address)]);
 }
+
+/// A fifth of the targets turns five times slower at the usual load, for seconds: work moves to the
+/// others, which have room for it, so that 95% of the jobs are still in time.
+#[test]
+fn targets_that_turn_slow_delay_few_jobs() {
+    let mut sim = Simulation::with_speeds(&[1.0; 16]);
+    let mut jobs = Vec::new();
+    // 32 slots. 40 urgent jobs a second of 4 x 0.06 s take 10 slots, 30 of 2 x 0.2 s take 12.
+    for n in 0..600 {
+        let now = sim.now;
+        if n == 100 {
+            (0..3).for_each(|slow| sim.target(slow).speed = 0.2);
+        }
+        if n % 10 < 4 {
+            jobs.push((sim.submit(submission(n, URGENT, 4, ms(60))), now, 156));
+        }
+        if n % 10 >= 7 {
+            jobs.push((sim.submit(submission(n, LONG, 2, ms(200))), now, 380));
+        }
+        sim.run(ms(10));
+    }
+    sim.run(ms(1_600));
+    let tally = tally(&sim, &jobs);
+    assert!(tally.in_time >= 399, "{tally:?} of {}", jobs.len());
+    assert_eq!(sim.duplicate_runs, []);
+}
