Start a step only after the steps before it have run

Objectives added up all steps, also those that run side by side, and the forecast saw only the first one.

Change: a step is done when as many of its tasks have succeeded as it has; a step without tasks when its predecessors are. The objective follows the longest chain; the forecast, placement and shedding add the chain that is still ahead of a task. A failed task is repeated on another target where one may run it: the second attempt on the same faulty target failed jobs that others could run.

Tests: tests/dispatch/steps.rs (chains, diamonds, empty steps, failures in the middle, takeover, bad references), failed_task_is_repeated_on_another_target.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -9,7 +9,9 @@
 use crate::state::{
     fleet_config::Queue,
     id::ZoneName,
-    job_submission::{CallerJobId, JobSubmission, Outcome, Refusal},
+    job_submission::{
+        CallerJobId, JobSubmission, Outcome, Refusal, Step, chain_durations, validate_steps,
+    },
     target::Target,
     time::Moment,
 };
@@ -148,18 +150,17 @@
                 Duration::ZERO,
             );
         };
+        if validate_steps(&submission.steps).is_err() {
+            let delay = MAX_RETRY_AFTER;
+            return self.refuse(key, &submission, Refusal::Shape, delay, Duration::ZERO);
+        }
         let id = submission.id;
         let job = self.new_job(submission, &queue, arrived_at);
         let rank = Rank { late: false, priority: job.priority, key };
         let mut forecast = self.forecast(now);
         self.schedule_ahead(&mut forecast, Some(rank), now);
         let ahead = self.queued_jobs.iter().take_while(|other| **other < rank).count();
-        let base = job
-            .submission
-            .steps
-            .first()
-            .map(|step| self.base_run_time(&job.submission.queue, step));
-        let end = forecast.schedule(job.waiting_tasks.len(), base.unwrap_or_default(), now);
+        let end = self.schedule_waiting(&mut forecast, &job, now);
         let cpu: u64 =
             job.submission.steps.iter().map(|s| s.needs.cpu.0 * u64::from(s.count)).sum();
         let late = end.is_none_or(|end| end > job.objective);
@@ -206,15 +207,20 @@
     }
 
     fn new_job(&self, submission: JobSubmission, queue: &Queue, arrived_at: Moment) -> Job {
-        let chain: Duration =
-            submission.steps.iter().map(|s| self.base_run_time(&submission.queue, s)).sum();
+        let run_time = |step: &Step| self.base_run_time(&submission.queue, step);
+        let chains = chain_durations(&submission.steps, run_time);
+        let longest = chains.iter().max().copied().unwrap_or_default();
+        let chains_after = submission.steps.iter().zip(&chains);
+        let chains_after =
+            chains_after.map(|(step, chain)| chain.saturating_sub(run_time(step))).collect();
         let mut job = Job {
             joined: Vec::new(),
             arrived_at,
             deadline: arrived_at + submission.time_to_deadline.min(queue.timeout),
-            objective: arrived_at + chain.mul_f64(queue.objective_factor) + queue.objective_base,
+            objective: arrived_at + longest.mul_f64(queue.objective_factor) + queue.objective_base,
             priority: queue.priority,
             max_attempts: queue.max_attempts.max(1),
+            chains_after,
             tasks: IndexMap::new(),
             waiting_tasks: VecDeque::new(),
             start_sent: false,
--- a/src/coordination/dispatch/forecast.rs
+++ b/src/coordination/dispatch/forecast.rs
@@ -2,8 +2,8 @@
 //!
 //! A slot is the share of a target's CPU that one average task takes.
 
-use super::{Dispatcher, Rank, SubmissionKey};
-use crate::state::{target::Target, time::Moment};
+use super::{Dispatcher, Rank, SubmissionKey, job::Job};
+use crate::state::{job_submission::TaskId, target::Target, time::Moment};
 use indexmap::IndexMap;
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
@@ -107,9 +107,8 @@
         }
     }
 
-    /// Assigns the waiting tasks of one job to slots. Returns the moment at which they and its
-    /// running tasks are expected to end, or `None` if none of its tasks waits or there are no
-    /// slots.
+    /// Assigns the waiting tasks of one job to slots. Returns the moment at which the job is expected
+    /// to end, or `None` if none of its tasks waits or there are no slots.
     pub(super) fn schedule_job(
         &self,
         forecast: &mut Forecast,
@@ -117,12 +116,38 @@
         now: Moment,
     ) -> Option<Moment> {
         let job = self.jobs.get(&key)?;
-        let step = job.step(*job.waiting_tasks.front()?)?;
-        let base = self.base_run_time(&job.submission.queue, step).mul_f64(job.run_time_ratio());
-        let waiting_end = forecast.schedule(job.waiting_tasks.len(), base, now)?;
-        let running = job.tasks.values().filter_map(|t| t.target.as_ref());
-        let runs = running.filter_map(|id| self.targets.get(id)).flat_map(|t| t.runs.values());
-        let running_end = runs.filter(|r| r.job == Some(key.0)).map(|r| r.expected_end).max();
-        Some(waiting_end.max(running_end.unwrap_or(waiting_end)))
+        if job.waiting_tasks.is_empty() {
+            return None;
+        }
+        let waiting_end = self.schedule_waiting(forecast, job, now)?;
+        let running = job.tasks.iter().filter_map(|(id, task)| Some((id, task.target.as_ref()?)));
+        let running_end = running.filter_map(|(id, target)| {
+            let run = self.targets.get(target)?.runs.get(id)?;
+            (run.job == Some(key.0)).then(|| run.expected_end + job.chain_after(*id))
+        });
+        Some(running_end.max().map_or(waiting_end, |end| end.max(waiting_end)))
+    }
+
+    /// Assigns the waiting tasks of a job to slots. Returns the moment at which they and the steps
+    /// after them are expected to end, or `None` if there are no slots.
+    pub(super) fn schedule_waiting(
+        &self,
+        forecast: &mut Forecast,
+        job: &Job,
+        now: Moment,
+    ) -> Option<Moment> {
+        let mut end = now;
+        let mut counts: IndexMap<u32, usize> = IndexMap::new();
+        for task in &job.waiting_tasks {
+            *counts.entry(task.step).or_default() += 1;
+        }
+        for (number, count) in counts {
+            let step = job.submission.steps.get(number as usize)?;
+            let base = self.base_run_time(&job.submission.queue, step);
+            let last = forecast.schedule(count, base.mul_f64(job.run_time_ratio()), now)?;
+            let first = TaskId { job: job.submission.id, step: number, index: 0 };
+            end = end.max(last + job.chain_after(first));
+        }
+        Some(end)
     }
 }
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -36,6 +36,8 @@
     pub last_run: u32,
     /// Target on which a run of it may exist.
     pub target: Option<TargetId>,
+    /// Target on which its last failed run was.
+    pub failed_on: Option<TargetId>,
     /// Whether a run of it succeeded.
     pub done: bool,
     /// Whether a run of it was stopped as a straggler; at most one per task is.
@@ -62,6 +64,8 @@
     pub priority: Priority,
     /// Number of failed runs of one task at which the job fails.
     pub max_attempts: u32,
+    /// Expected run time, on targets of usual speed, of the longest chain of steps after each step.
+    pub chains_after: Vec<Duration>,
     /// Tasks of the steps that have begun.
     pub tasks: IndexMap<TaskId, TaskState>,
     /// Tasks that wait for a target, the next one first.
@@ -110,6 +114,12 @@
         self.waiting_tasks.len() as f64 > LATE_ANSWER_VALUE * self.tasks.len() as f64
     }
 
+    /// Expected run time of the longest chain of steps after the step of a task.
+    pub fn chain_after(&self, task: TaskId) -> Duration {
+        let chain = self.chains_after.get(task.step as usize).copied().unwrap_or_default();
+        chain.mul_f64(self.run_time_ratio())
+    }
+
     /// Returns the step that a task belongs to.
     pub fn step(&self, task: TaskId) -> Option<&Step> {
         self.submission.steps.get(task.step as usize)
@@ -128,20 +138,34 @@
         self.tasks.iter().filter(is_running_there).count() as u32
     }
 
-    /// Whether all known tasks of a step have succeeded.
-    pub fn is_step_done(&self, step: u32) -> bool {
-        self.tasks.iter().filter(|(id, _)| id.step == step).all(|(_, task)| task.done)
+    /// Returns for each step whether it has begun and all its tasks have succeeded. A step without
+    /// tasks is done once the steps that it comes after are.
+    fn steps_done(&self) -> Vec<bool> {
+        let mut open: Vec<u32> = self.submission.steps.iter().map(|step| step.count).collect();
+        for task in self.tasks.iter().filter(|(_, task)| task.done).map(|(id, _)| id) {
+            open[task.step as usize] -= 1;
+        }
+        let mut done: Vec<bool> = Vec::with_capacity(open.len());
+        for (step, open) in self.submission.steps.iter().zip(open) {
+            let is_ready = step.after.iter().all(|&after| is_done(&done, after));
+            done.push(open == 0 && is_ready);
+        }
+        done
     }
 
     /// Queues the tasks of steps whose preceding steps are done.
     pub fn enqueue_ready_steps(&mut self) {
-        for number in 0..self.submission.steps.len() as u32 {
-            let after = self.submission.steps[number as usize].after.clone();
-            let first = TaskId { job: self.submission.id, step: number, index: 0 };
-            if self.tasks.contains_key(&first) || !after.iter().all(|&s| self.is_step_done(s)) {
+        if self.tasks.len() as u64 == self.task_count() {
+            return;
+        }
+        let done = self.steps_done();
+        for (number, step) in self.submission.steps.iter().enumerate() {
+            let first = TaskId { job: self.submission.id, step: number as u32, index: 0 };
+            let is_ready = step.after.iter().all(|&after| is_done(&done, after));
+            if self.tasks.contains_key(&first) || !is_ready {
                 continue;
             }
-            for index in 0..self.submission.steps[number as usize].count {
+            for index in 0..step.count {
                 let id = TaskId { index, ..first };
                 self.tasks.insert(id, TaskState::default());
                 self.waiting_tasks.push_back(id);
@@ -149,10 +173,14 @@
         }
     }
 
+    /// Number of tasks of all steps.
+    fn task_count(&self) -> u64 {
+        self.submission.steps.iter().map(|s| u64::from(s.count)).sum()
+    }
+
     /// Whether every step has begun and every task has succeeded.
     pub fn is_done(&self) -> bool {
-        let total: u64 = self.submission.steps.iter().map(|s| u64::from(s.count)).sum();
-        self.tasks.len() as u64 == total && self.tasks.values().all(|t| t.done)
+        self.tasks.len() as u64 == self.task_count() && self.tasks.values().all(|t| t.done)
     }
 
     /// Returns a new run number for a task, higher than all before.
@@ -163,6 +191,10 @@
     }
 }
 
+fn is_done(done: &[bool], step: u32) -> bool {
+    done.get(step as usize).copied().unwrap_or_default()
+}
+
 impl Dispatcher {
     /// Moves jobs that have missed their latency objective, and have many waiting tasks, behind all
     /// others.
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -115,8 +115,17 @@
     ) -> Option<Candidate> {
         let job = self.jobs.get(&key)?;
         let rack = self.preferred_rack(key, step);
+        let chain_after = job.chain_after(task);
+        // A failed task is not repeated on the same target while another one may run it.
+        let failed_on = job.tasks.get(&task).and_then(|state| state.failed_on.as_ref());
+        let has_other = |failed_on: &TargetId| {
+            let mut others = self.targets.values().filter(|t| t.info.id != *failed_on);
+            others.any(|t| self.is_eligible(job, step, t, now))
+        };
+        let avoided = failed_on.filter(|failed_on| has_other(failed_on));
         let fits = |t: &&Target| {
-            step.needs.fits_in(t.free_resources())
+            avoided != Some(&t.info.id)
+                && step.needs.fits_in(t.free_resources())
                 && self.is_eligible(job, step, t, now)
                 && !t.runs.contains_key(&task)
                 && step
@@ -130,10 +139,11 @@
             if rack.as_ref().is_some_and(|rack| !t.info.has_label(rack)) {
                 run_time = run_time.mul_f64(OFF_RACK_FACTOR);
             }
-            if now + run_time > job.deadline {
+            if now + run_time + chain_after > job.deadline {
                 return None;
             }
-            let in_time = now + run_time.mul_f64(job.safety_factor()) <= job.objective;
+            let in_time =
+                now + (run_time + chain_after).mul_f64(job.safety_factor()) <= job.objective;
             let cpu_left = t.free_resources().saturating_sub(step.needs).cpu.0;
             Some(Candidate { id: t.info.id.clone(), run_time, in_time, cpu_left })
         });
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -276,6 +276,7 @@
         }
         if outcome == RunOutcome::Failed {
             task_state.failures += 1;
+            task_state.failed_on = Some(target_id.clone());
             self.counts.failed_runs += 1;
             let failed_elsewhere =
                 job.tasks.values().any(|t| t.failures > 0 && t.target.as_ref() != Some(target_id));
--- a/src/state/job_submission.rs
+++ b/src/state/job_submission.rs
@@ -56,7 +56,7 @@
 pub struct RunNumber(pub u32);
 
 /// A step of a job: a number of tasks with the same requirements.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Step {
     /// Number of tasks of the step.
     pub count: u32,
@@ -76,6 +76,60 @@
     pub most_per_target: Option<u32>,
 }
 
+/// Why the steps of a job can't be run.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum StepError {
+    /// A step is to come after one that is not an earlier step of the job.
+    #[display("step {step} comes after step {after}, which is not an earlier step of the job")]
+    NotEarlier {
+        /// Index of the step.
+        step: usize,
+        /// Index of the step that it is to come after.
+        after: u32,
+    },
+}
+
+/// Checks that each step comes only after earlier steps.
+///
+/// # Errors
+///
+/// Fails with a [`StepError`] that names the first step for which this is not so.
+pub fn validate_steps(steps: &[Step]) -> Result<(), StepError> {
+    for (step, after) in steps.iter().enumerate() {
+        if let Some(&after) = after.after.iter().find(|&&after| after as usize >= step) {
+            return Err(StepError::NotEarlier { step, after });
+        }
+    }
+    Ok(())
+}
+
+/// Returns for each step the run time of the longest chain of steps that begins with it, where
+/// `run_time` returns the run time of a task of a step. Steps without tasks take no time.
+///
+/// ```
+/// use cranberrytray::state::job_submission::{Step, chain_durations};
+/// use std::time::Duration;
+///
+/// let step = |count, after| Step { count, after, ..Step::default() };
+/// let steps = [step(1, vec![]), step(4, vec![0]), step(1, vec![0, 1])];
+/// let second = Duration::from_secs(1);
+/// assert_eq!(chain_durations(&steps, |_| second), [second * 3, second * 2, second]);
+/// ```
+pub fn chain_durations<F>(steps: &[Step], run_time: F) -> Vec<Duration>
+where
+    F: Fn(&Step) -> Duration,
+{
+    let mut chains = vec![Duration::ZERO; steps.len()];
+    for (n, step) in steps.iter().enumerate().rev() {
+        let own = if step.count > 0 { run_time(step) } else { Duration::ZERO };
+        let successors = steps.iter().zip(&chains).skip(n + 1);
+        let followers = successors.filter(|(s, _)| s.after.contains(&(n as u32)));
+        let rest = followers.map(|(_, chain)| *chain).max();
+        chains[n] = own + rest.unwrap_or_default();
+    }
+    chains
+}
+
 /// A job as submitted by its caller.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSubmission {
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -4,3 +4,4 @@
 mod ownership;
 mod runs;
 mod simulation;
+mod steps;
--- a/tests/dispatch/runs.rs
+++ b/tests/dispatch/runs.rs
@@ -121,3 +121,15 @@
     sim.run(ms(700));
     assert_eq!(sim.outcome(key), Some(Outcome::Unknown));
 }
+
+/// A target fails everything that it starts: a task that failed there is repeated elsewhere, even
+/// if the target is the only free one.
+#[test]
+fn failed_task_is_repeated_on_another_target() {
+    let mut sim = Simulation::new(2).take_over();
+    sim.target(0).fault = Fault::FailsRuns;
+    let key = sim.submit(submission(1, URGENT, 4, ms(60)));
+    sim.run(ms(200));
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+    assert!(sim.target(0).starts.len() <= 2, "{}", sim.target(0).starts.len());
+}
