Keep one job for each job id until its last submission is cancelled

Change: a job, deferred or not, keeps the list of submissions that wait for its answer and ends with the last of them. Failures count as faults of the first target on which the job failed; on others the job is more likely at fault.

Tests, which failed first: five cases in tests/dispatch/runs.rs (deferred_*, joined_*, each_failure_*); job_that_fails_everywhere_blames_one_target passed before and after.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -68,18 +68,24 @@
         self.last_submission_key += 1;
         let key = SubmissionKey(self.last_submission_key);
         if self.handing_over {
-            self.refuse(key, &submission, Refusal::Closed, MIN_RETRY_AFTER, Duration::ZERO);
+            self.refuse(&[key], &submission, Refusal::Closed, MIN_RETRY_AFTER, Duration::ZERO);
         } else if let Some(&first) = self.keys_by_job_id.get(&submission.id) {
             if let Some(job) = self.jobs.get_mut(&first) {
-                job.joined.push(key);
+                job.submissions.push(key);
             }
+        } else if let Some(earlier) =
+            self.deferred.iter_mut().find(|d| d.submission.id == submission.id)
+        {
+            earlier.keys.push(key);
+            earlier.resumed |= resumed;
         } else if self.orphaned_runs.contains_key(&submission.id)
             || resumed && !self.has_no_earlier_runs(now)
         {
-            self.deferred.push(DeferredSubmission { key, submission, arrived_at: now, resumed });
+            let keys = vec![key];
+            self.deferred.push(DeferredSubmission { keys, submission, arrived_at: now, resumed });
         } else {
             let origin = if may_redirect { Origin::Caller } else { Origin::OtherZone };
-            self.admit_or_redirect(key, submission, now, origin, now);
+            self.admit_or_redirect(vec![key], submission, now, origin, now);
         }
         self.start_waiting_tasks(now);
         key
@@ -108,7 +114,7 @@
         self.deferred = rest;
         for deferred in ready {
             self.admit_or_redirect(
-                deferred.key,
+                deferred.keys,
                 deferred.submission,
                 deferred.arrived_at,
                 Origin::Deferred,
@@ -117,33 +123,36 @@
         }
     }
 
-    /// Cancels a submission whose caller no longer waits; its job is abandoned unless another
-    /// submission joined it.
+    /// Cancels a submission whose caller no longer waits. Its job is abandoned once no submission of
+    /// it is left.
     pub fn cancel(&mut self, key: SubmissionKey, now: Moment) {
         self.check_suspension(now);
-        self.deferred.retain(|deferred| deferred.key != key);
-        if let Some(job) = self.jobs.values_mut().find(|job| job.joined.contains(&key)) {
-            job.joined.retain(|joined| *joined != key);
-            return;
+        for deferred in &mut self.deferred {
+            deferred.keys.retain(|other| *other != key);
         }
-        let Some(job) = self.jobs.get(&key) else { return };
-        if job.joined.is_empty() {
-            self.abandon_job(key, "its caller no longer waits");
+        self.deferred.retain(|deferred| !deferred.keys.is_empty());
+        let has_key = |(_, job): &(&SubmissionKey, &mut Job)| job.submissions.contains(&key);
+        let Some((&first, job)) = self.jobs.iter_mut().find(has_key) else { return };
+        job.submissions.retain(|other| *other != key);
+        if job.submissions.is_empty() {
+            self.abandon_job(first, "its caller no longer waits");
             self.start_waiting_tasks(now);
         }
     }
 
+    /// Decides on a job. `keys` are the submissions of it; a job of a caller has one.
     fn admit_or_redirect(
         &mut self,
-        key: SubmissionKey,
+        keys: Vec<SubmissionKey>,
         submission: JobSubmission,
         arrived_at: Moment,
         origin: Origin,
         now: Moment,
     ) {
+        let Some(&key) = keys.first() else { return };
         let Some(queue) = self.config.queue(&submission.queue).cloned() else {
             return self.refuse(
-                key,
+                &keys,
                 &submission,
                 Refusal::NoQueue,
                 NO_TARGET_RETRY_AFTER,
@@ -152,10 +161,10 @@
         };
         if validate_steps(&submission.steps).is_err() {
             let delay = MAX_RETRY_AFTER;
-            return self.refuse(key, &submission, Refusal::Shape, delay, Duration::ZERO);
+            return self.refuse(&keys, &submission, Refusal::Shape, delay, Duration::ZERO);
         }
         let id = submission.id;
-        let job = self.new_job(submission, &queue, arrived_at);
+        let mut job = self.new_job(submission, &queue, arrived_at);
         let rank = Rank { late: false, priority: job.priority, key };
         let mut forecast = self.forecast(now);
         self.schedule_ahead(&mut forecast, Some(rank), now);
@@ -173,7 +182,7 @@
         }
         let Some(end) = end else {
             return self.refuse(
-                key,
+                &keys,
                 &job.submission,
                 Refusal::NoTarget,
                 NO_TARGET_RETRY_AFTER,
@@ -183,7 +192,7 @@
         let expected = end - now;
         if self.jobs.len() >= MAX_OPEN_JOBS {
             return self.refuse(
-                key,
+                &keys,
                 &job.submission,
                 Refusal::QueueFull,
                 MIN_RETRY_AFTER,
@@ -197,11 +206,12 @@
         };
         if end + ANSWER_LATENCY > latest_end {
             let delay = retry_after(end - job.objective);
-            return self.refuse(key, &job.submission, Refusal::TooLate, delay, expected);
+            return self.refuse(&keys, &job.submission, Refusal::TooLate, delay, expected);
         }
         self.counts.admitted += 1;
         self.log(LogEvent::Admitted { id, queue: queue.name, expected, ahead });
         self.keys_by_job_id.insert(id, key);
+        job.submissions = keys;
         self.jobs.insert(key, job);
         self.update_queue(key);
     }
@@ -214,12 +224,13 @@
         let chains_after =
             chains_after.map(|(step, chain)| chain.saturating_sub(run_time(step))).collect();
         let mut job = Job {
-            joined: Vec::new(),
+            submissions: Vec::new(),
             arrived_at,
             deadline: arrived_at + submission.time_to_deadline.min(queue.timeout),
             objective: arrived_at + longest.mul_f64(queue.objective_factor) + queue.objective_base,
             priority: queue.priority,
             max_attempts: queue.max_attempts.max(1),
+            first_failed_target: None,
             chains_after,
             tasks: IndexMap::new(),
             waiting_tasks: VecDeque::new(),
@@ -301,7 +312,7 @@
 
     fn refuse(
         &mut self,
-        key: SubmissionKey,
+        keys: &[SubmissionKey],
         submission: &JobSubmission,
         refusal: Refusal,
         retry_after: Duration,
@@ -310,7 +321,7 @@
         self.counts.refused += 1;
         self.log_refusal(submission.id, refusal, expected, Duration::ZERO);
         let outcome = Outcome::NotRun { refusal, retry_after };
-        self.actions.push(Action::Answer { key, id: submission.id, outcome });
+        self.answer(keys, submission.id, outcome);
     }
 
     /// Abandons jobs and answers deferred submissions whose deadline has passed.
@@ -320,15 +331,12 @@
         for key in expired {
             self.abandon_job(key, "its deadline has passed");
         }
-        let deferred = std::mem::take(&mut self.deferred);
-        for deferred in deferred {
-            if deferred.arrived_at + deferred.submission.time_to_deadline <= now {
-                let outcome = Outcome::Unknown;
-                self.actions.push(Action::Answer {
-                    key: deferred.key,
-                    id: deferred.submission.id,
-                    outcome,
-                });
+        for deferred in std::mem::take(&mut self.deferred) {
+            let queue = self.config.queue(&deferred.submission.queue);
+            let timeout = queue.map_or(Duration::MAX, |queue| queue.timeout);
+            let span = deferred.submission.time_to_deadline.min(timeout);
+            if deferred.arrived_at + span <= now {
+                self.answer(&deferred.keys, deferred.submission.id, Outcome::Unknown);
             } else {
                 self.deferred.push(deferred);
             }
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -5,7 +5,7 @@
     coordination::dispatch::Action,
     state::{
         fleet_config::Priority,
-        job_submission::{JobSubmission, Outcome, Refusal, RunNumber, Step, TaskId},
+        job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, RunNumber, Step, TaskId},
         target::TargetId,
         time::Moment,
     },
@@ -52,8 +52,8 @@
 pub struct Job {
     /// The job as its caller submitted it.
     pub submission: JobSubmission,
-    /// Later submissions with the same job id, which get the same answer.
-    pub joined: Vec<SubmissionKey>,
+    /// Submissions with this job id that wait for the answer.
+    pub submissions: Vec<SubmissionKey>,
     /// When it was first submitted to this dispatcher.
     pub arrived_at: Moment,
     /// When its caller stops waiting or its queue's timeout ends, whichever is earlier.
@@ -64,6 +64,8 @@
     pub priority: Priority,
     /// Number of failed runs of one task at which the job fails.
     pub max_attempts: u32,
+    /// First target on which a run of the job failed.
+    pub first_failed_target: Option<TargetId>,
     /// Expected run time, on targets of usual speed, of the longest chain of steps after each step.
     pub chains_after: Vec<Duration>,
     /// Tasks of the steps that have begun.
@@ -243,9 +245,7 @@
             Outcome::NotRun { .. } => self.counts.refused += 1,
             Outcome::Failed => {}
         }
-        for key in [key].into_iter().chain(job.joined.iter().copied()) {
-            self.actions.push(Action::Answer { key, id, outcome });
-        }
+        self.answer(&job.submissions, id, outcome);
         let unfinished = job.tasks.iter().filter(|(_, t)| !t.done);
         let runs: Vec<_> =
             unfinished.filter_map(|(id, t)| Some((*id, t.target.clone()?))).collect();
@@ -254,6 +254,11 @@
         }
     }
 
+    /// Answers all submissions of a job id.
+    pub(super) fn answer(&mut self, keys: &[SubmissionKey], id: CallerJobId, outcome: Outcome) {
+        self.actions.extend(keys.iter().map(|&key| Action::Answer { key, id, outcome }));
+    }
+
     /// Ends a job early: as not run if no start of it was sent, else with an unknown outcome.
     pub(super) fn abandon_job(&mut self, key: SubmissionKey, reason: &'static str) {
         let Some(job) = self.jobs.get(&key) else { return };
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -141,7 +141,8 @@
 /// A submission whose admission is deferred until earlier runs of its tasks are closed.
 #[derive(Clone, Debug)]
 struct DeferredSubmission {
-    key: SubmissionKey,
+    /// Submissions with this job id that wait for the answer, the first one first.
+    keys: Vec<SubmissionKey>,
     submission: JobSubmission,
     arrived_at: Moment,
     /// Whether runs that an earlier dispatcher started may still exist.
@@ -271,7 +272,7 @@
         kinds.into_iter().map(|kind| (kind.clone(), self.run_times.slowness(kind))).collect()
     }
 
-    /// Number of jobs and deferred submissions that are not answered.
+    /// Number of jobs that are not answered, deferred ones included.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len() + self.deferred.len()
     }
@@ -376,12 +377,7 @@
             self.abandon_job(key, "the dispatcher stepped down");
         }
         for deferred in std::mem::take(&mut self.deferred) {
-            let outcome = Outcome::Unknown;
-            self.actions.push(Action::Answer {
-                key: deferred.key,
-                id: deferred.submission.id,
-                outcome,
-            });
+            self.answer(&deferred.keys, deferred.submission.id, Outcome::Unknown);
         }
         self.targets.clear();
         self.orphaned_runs.clear();
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -278,11 +278,10 @@
             task_state.failures += 1;
             task_state.failed_on = Some(target_id.clone());
             self.counts.failed_runs += 1;
-            let failed_elsewhere =
-                job.tasks.values().any(|t| t.failures > 0 && t.target.as_ref() != Some(target_id));
-            let is_exhausted = job.tasks[&task].failures >= job.max_attempts;
-            let is_first = job.tasks.values().map(|t| t.failures).sum::<u32>() <= 1;
-            if is_first || !failed_elsewhere {
+            let is_exhausted = task_state.failures >= job.max_attempts;
+            // A job that fails on several targets probably fails by its own fault.
+            let blamed = job.first_failed_target.get_or_insert_with(|| target_id.clone());
+            if blamed == target_id {
                 self.record_fault(target_id, now);
             }
             if is_exhausted {
--- a/tests/dispatch/runs.rs
+++ b/tests/dispatch/runs.rs
@@ -1,7 +1,10 @@
 //! Runs of a job: completion, failure, lost messages, restarts and cancellation.
 
-use crate::simulation::{Fault, LONG, Simulation, URGENT, ms, submission};
-use cranberrytray::state::job_submission::{Outcome, Refusal};
+use crate::simulation::{Fault, LONG, Simulation, URGENT, ms, submission, target_info};
+use cranberrytray::{
+    coordination::dispatch::LogEvent,
+    state::job_submission::{Outcome, Refusal},
+};
 
 #[test]
 fn job_completes_when_all_tasks_have_ended() {
@@ -133,3 +136,95 @@
     assert_eq!(sim.outcome(key), Some(Outcome::Completed));
     assert!(sim.target(0).starts.len() <= 2, "{}", sim.target(0).starts.len());
 }
+
+/// Guards against two jobs for one id: a job is submitted twice while runs of an earlier submission
+/// are still being stopped.
+#[test]
+fn deferred_submissions_of_one_id_become_one_job() {
+    let mut sim = Simulation::new(2).take_over();
+    let first = sim.submit(submission(1, LONG, 2, ms(600)));
+    sim.run(ms(20));
+    sim.dispatcher.cancel(first, sim.now);
+    sim.process_actions();
+    let again = [1, 2].map(|_| sim.submit(submission(1, LONG, 2, ms(100))));
+    sim.run(ms(400));
+    assert_eq!(sim.duplicate_runs, []);
+    assert_eq!(again.map(|key| sim.outcome(key)), [Some(Outcome::Completed); 2]);
+    assert_eq!(sim.start_count(), 4);
+}
+
+#[test]
+fn deferred_submissions_of_one_id_are_cancelled_one_by_one() {
+    let mut sim = Simulation::new(2);
+    let keys = [1, 2].map(|_| sim.submit_with(submission(7, URGENT, 1, ms(60)), false, true));
+    sim.dispatcher.cancel(keys[0], sim.now);
+    sim.publish_targets();
+    sim.run(ms(300));
+    assert_eq!(keys.map(|key| sim.outcome(key)), [None, Some(Outcome::Completed)]);
+
+    let mut sim = Simulation::new(2);
+    let keys = [1, 2].map(|_| sim.submit_with(submission(7, URGENT, 1, ms(60)), false, true));
+    keys.map(|key| sim.dispatcher.cancel(key, sim.now));
+    sim.publish_targets();
+    sim.run(ms(1_200));
+    assert_eq!((sim.start_count(), sim.dispatcher.open_jobs()), (0, 0));
+}
+
+/// Guards against work that nobody waits for: all submissions of a job are cancelled, in either
+/// order.
+#[test]
+fn joined_submissions_cancelled_in_either_order_stop_the_job() {
+    for order in [[0, 1], [1, 0]] {
+        let mut sim = Simulation::new(1).take_over();
+        let keys = [1, 2].map(|_| sim.submit(submission(1, LONG, 2, ms(600))));
+        sim.run(ms(20));
+        sim.dispatcher.cancel(keys[order[0]], sim.now);
+        sim.process_actions();
+        sim.run(ms(20));
+        assert_eq!(sim.target(0).running(), 2, "the other submission still waits");
+        sim.dispatcher.cancel(keys[order[1]], sim.now);
+        sim.process_actions();
+        sim.run(ms(80));
+        assert_eq!(sim.target(0).running(), 0, "{order:?}");
+        assert_eq!(sim.dispatcher.open_jobs(), 0);
+    }
+}
+
+/// The queue's timeout is shorter than the caller's deadline, also while a submission is deferred.
+#[test]
+fn deferred_submission_expires_at_the_timeout_of_its_queue() {
+    let mut sim = Simulation::new(1);
+    let mut patient = submission(7, URGENT, 1, ms(60));
+    patient.time_to_deadline = ms(9_000);
+    let now = sim.now;
+    let key = sim.submit_with(patient, false, true);
+    sim.dispatcher.set_predecessor_targets(vec![target_info(0).id], now);
+    sim.run(ms(1_700));
+    let (outcome, at) = sim.answers[&key];
+    assert_eq!(outcome, Outcome::Unknown);
+    assert!(at - now <= ms(1_525), "{:?}", at - now);
+}
+
+/// Both tasks that a target runs for one job fail there: two faults, which eject it.
+#[test]
+fn each_failure_of_a_job_counts_as_a_fault_of_its_target() {
+    let mut sim = Simulation::new(4).take_over();
+    sim.target(0).fault = Fault::FailsRuns;
+    let key = sim.submit(submission(1, URGENT, 8, ms(60)));
+    sim.run(ms(100));
+    let ejected = sim.log.iter().filter(|(_, e)| matches!(e, LogEvent::Ejected { .. })).count();
+    assert_eq!(ejected, 1);
+    sim.run(ms(200));
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
+
+/// A job fails wherever it runs: only the first of its targets is blamed.
+#[test]
+fn job_that_fails_everywhere_blames_one_target() {
+    let mut sim = Simulation::new(4).take_over();
+    sim.targets.values_mut().for_each(|target| target.fault = Fault::FailsRuns);
+    sim.submit(submission(1, URGENT, 2, ms(60)));
+    sim.run(ms(100));
+    let ejected = sim.log.iter().filter(|(_, e)| matches!(e, LogEvent::Ejected { .. })).count();
+    assert!(ejected <= 1, "{ejected}");
+}
