Derive timeouts from the platform's bounds, and recognize restarted targets

A start that was meant for a target's former incarnation and reached the new one, which has the same name and address, counted as lost with the first report of the new incarnation and ran twice; the target was then unusable until its list entry changed. The header that names the intended target carries its id, which a new incarnation keeps, so that it guards against other targets only.

Change: RunBounds holds what the platform declares, Timing the timeouts derived from it; bounds that no timeouts meet are an error at start. A new incarnation keeps the runs that its reports show; late reports of former incarnations are ignored.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -1,10 +1,8 @@
 //! Admission control: which jobs are admitted, redirected to another zone, or refused at once.
 
 use super::{
-    Action, DeferredSubmission, Dispatcher, LogEvent, MAX_LEASE_DURATION, MAX_OPEN_JOBS, Rank,
-    RemoteZone, SpareCpu, SubmissionKey,
-    job::Job,
-    replies::{MAX_STOP_DURATION, STOP_MARGIN},
+    Action, DeferredSubmission, Dispatcher, LogEvent, MAX_OPEN_JOBS, Rank, RemoteZone, SpareCpu,
+    SubmissionKey, job::Job,
 };
 use crate::state::{
     fleet_config::Queue,
@@ -94,10 +92,9 @@
     /// Whether no run that an earlier dispatcher started can still exist: either the leases of such
     /// runs have expired, or every target was taken over and the list is known to be complete.
     fn has_no_earlier_runs(&self, now: Moment) -> bool {
-        let leases_expired = now - self.sole_owner_since > MAX_LEASE_DURATION;
+        let leases_expired = now - self.sole_owner_since > self.timing.lease_bound;
         // A target no longer lists a run that is being stopped, although the run may still exist.
-        let has_no_runs =
-            |t: &Target| t.taken_over && now - t.taken_over_at > MAX_STOP_DURATION + STOP_MARGIN;
+        let has_no_runs = |t: &Target| t.taken_over && now - t.taken_over_at > self.timing.stop;
         let no_runs_on_targets = || self.targets.values().all(has_no_runs);
         let all_taken_over =
             || self.list_status.is_complete && !self.targets.is_empty() && no_runs_on_targets();
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -17,6 +17,7 @@
 pub mod placement;
 pub mod replies;
 pub mod runs;
+pub mod timing;
 
 use crate::state::{
     fleet_config::{FleetConfig, Label, QueueName},
@@ -24,7 +25,7 @@
     job_submission::{CallerJobId, JobSubmission, Outcome, RunNumber, TaskId},
     rtt::RttEstimator,
     run_time::RunTimeEstimator,
-    target::{FencingToken, Target, TargetId, TargetIncarnation, TargetTime},
+    target::{FencingToken, Target, TargetId, TargetTime},
     time::Moment,
 };
 use derive_more::{Add, Display};
@@ -33,19 +34,8 @@
 pub use log_event::LogEvent;
 use ownership::TargetListStatus;
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use timing::Timing;
 
-/// Length of a lease on the target's clock. The platform allows at most 1 s, and a caller whose
-/// connection broke resubmits after 1.3 s.
-pub const LEASE_DURATION: Duration = Duration::from_millis(900);
-/// Longest time for which a target may delay the answer to a lease renewal while no run ends;
-/// half a lease is left in case an answer is lost.
-pub const MAX_RENEWAL_WAIT: Duration = Duration::from_millis(300);
-/// Upper bound of a lease on this VM's clock: the lease, 2% for a target's slow clock, and 40 ms
-/// for late timers.
-const MAX_LEASE_DURATION: Duration = Duration::from_millis(900 + 18 + 40);
-/// Longest gap between two calls before the process counts as suspended; after a longer one, leases
-/// may have expired.
-const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(650);
 /// Weight of one run in the slowness estimate of a kind of target; dozens of runs end per second.
 const KIND_SLOWNESS_WEIGHT: f64 = 0.02;
 /// Targets with at most this slowness are fast; 1 is usual.
@@ -61,10 +51,9 @@
 /// Addresses a request to start or stop one run on one target.
 #[derive(Clone, Debug)]
 pub struct RunRequest {
-    /// Target that runs the task.
+    /// Target that runs the task. A target of another name rejects the request; a new incarnation
+    /// of the target accepts it.
     pub target: TargetId,
-    /// Incarnation of the target that the request is meant for; others reject it.
-    pub incarnation: TargetIncarnation,
     /// Address at which the target serves requests.
     pub address: SocketAddr,
     /// Fencing token of the dispatcher; a target that has seen a higher one rejects the request.
@@ -196,6 +185,7 @@
 pub struct Dispatcher {
     fencing_token: FencingToken,
     config: Arc<FleetConfig>,
+    timing: Timing,
     targets: IndexMap<TargetId, Target>,
     jobs: IndexMap<SubmissionKey, Job>,
     keys_by_job_id: IndexMap<CallerJobId, SubmissionKey>,
@@ -229,10 +219,16 @@
 
 impl Dispatcher {
     /// Creates a dispatcher without targets and jobs.
-    pub fn new(fencing_token: FencingToken, config: Arc<FleetConfig>, now: Moment) -> Self {
+    pub fn new(
+        fencing_token: FencingToken,
+        config: Arc<FleetConfig>,
+        timing: Timing,
+        now: Moment,
+    ) -> Self {
         Dispatcher {
             fencing_token,
             config,
+            timing,
             targets: IndexMap::new(),
             jobs: IndexMap::new(),
             keys_by_job_id: IndexMap::new(),
@@ -388,7 +384,7 @@
     fn check_suspension(&mut self, now: Moment) {
         let gap = now - self.last_call_at;
         self.last_call_at = self.last_call_at.max(now);
-        if gap <= SUSPENSION_THRESHOLD {
+        if gap <= self.timing.suspension_threshold {
             return;
         }
         self.log(LogEvent::Suspended { gap });
@@ -408,7 +404,6 @@
     fn run_request(&self, target: &Target, task: TaskId, run: RunNumber) -> RunRequest {
         RunRequest {
             target: target.info.id.clone(),
-            incarnation: target.info.incarnation,
             address: target.info.address,
             fencing_token: self.fencing_token,
             task,
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -1,9 +1,6 @@
 //! Ownership of targets: the target list, takeover, lease renewal, expiry and outlier ejection.
 
-use super::{
-    Action, Dispatcher, LogEvent, MAX_RENEWAL_WAIT, replies::MIN_PROGRESS_PERCENT,
-    runs::extend_lease,
-};
+use super::{Action, Dispatcher, LogEvent, replies::MIN_PROGRESS_PERCENT};
 use crate::state::{
     target::{
         FencingToken, OutlierState, RunOutcome, RunState, Target, TargetId, TargetIncarnation,
@@ -59,8 +56,6 @@
 pub struct LeaseRenewal {
     /// Target that the request is sent to.
     pub target: TargetId,
-    /// Incarnation of the target that the request is meant for; others reject it.
-    pub incarnation: TargetIncarnation,
     /// Address at which the target serves requests.
     pub address: SocketAddr,
     /// Fencing token of the dispatcher; a target that has seen a higher one rejects the request.
@@ -106,19 +101,26 @@
             self.actions.push(Action::Watch(info.id.clone()));
             return;
         };
-        if info.incarnation > target.info.incarnation {
-            self.replace_incarnation(&info.id, info.clone(), now);
-        } else if info.incarnation == target.info.incarnation {
-            let draining = target.info.draining || info.draining;
-            target.info = TargetInfo { draining, ..info.clone() };
+        if info.incarnation < target.info.incarnation {
+            return;
         }
+        let is_new = info.incarnation > target.info.incarnation;
+        let draining = info.draining || target.info.draining && !is_new;
+        target.info = TargetInfo { draining, incarnation: target.info.incarnation, ..info.clone() };
+        self.update_incarnation(&info.id, info.incarnation);
     }
 
-    /// Replaces a target by its new incarnation; no run of the old one exists any more.
-    pub(super) fn replace_incarnation(&mut self, id: &TargetId, info: TargetInfo, now: Moment) {
-        self.close_all_runs(id, now);
+    /// Records that a target has a new incarnation, which knows no earlier run and whose clock and
+    /// numbers of ended runs begin anew. Start requests that were meant for the former incarnation
+    /// may have reached this one, so runs are closed only when its reports lack them.
+    pub(super) fn update_incarnation(&mut self, id: &TargetId, incarnation: TargetIncarnation) {
         let Some(target) = self.targets.get_mut(id) else { return };
-        *target = Target::new(info, now);
+        if incarnation <= target.info.incarnation {
+            return;
+        }
+        target.info.incarnation = incarnation;
+        target.clock = None;
+        target.last_end_sequence = 0;
         self.log(LogEvent::TargetStateChanged { target: id.clone(), state: "a new incarnation" });
     }
 
@@ -137,8 +139,10 @@
         let fencing_token = self.fencing_token;
         let is_lossy = self.renewal_loss_rate > HIGH_LOSS_RATE;
         let timeout = self.rtt.timeout() + RENEWAL_TIMEOUT_MARGIN;
+        let renewal_wait = self.timing.renewal_wait;
         let target = self.targets.get_mut(id)?;
-        let lease_end = if target.taken_over { extend_lease(target, now) } else { None };
+        let lease_end =
+            if target.taken_over { self.timing.extend_lease(target, now) } else { None };
         let stopping = target.runs.values().any(|r| matches!(r.state, RunState::Stopping { .. }));
         let progress_unknown = target.runs.values().any(|r| {
             r.expected_duration > LONG_RUN_THRESHOLD && r.progress_percent < MIN_PROGRESS_PERCENT
@@ -146,20 +150,19 @@
         let wait = match (target.taken_over, stopping) {
             _ if target.missed_answers > 0 => Duration::ZERO,
             (false, _) => Duration::ZERO,
-            (true, true) => MAX_RENEWAL_WAIT / 6,
+            (true, true) => renewal_wait / 6,
             // A lost answer delays the report of an ended run, so the answer is requested for the
             // time at which the next run is expected to end.
             (true, false) if is_lossy => {
                 let end = target.runs.values().map(|run| run.expected_end).min();
-                let due = end.map_or(MAX_RENEWAL_WAIT, |end| end - now);
-                (due + EXPECTED_END_MARGIN).clamp(MIN_RENEWAL_WAIT, MAX_RENEWAL_WAIT / 3)
+                let due = end.map_or(renewal_wait, |end| end - now);
+                (due + EXPECTED_END_MARGIN).clamp(MIN_RENEWAL_WAIT, renewal_wait / 3)
             }
-            (true, false) if progress_unknown => MAX_RENEWAL_WAIT / 3,
-            (true, false) => MAX_RENEWAL_WAIT,
+            (true, false) if progress_unknown => renewal_wait / 3,
+            (true, false) => renewal_wait,
         };
         Some(LeaseRenewal {
             target: id.clone(),
-            incarnation: target.info.incarnation,
             address: target.info.address,
             fencing_token,
             last_end: target.last_end_sequence,
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -1,8 +1,6 @@
 //! Placement: which task is started on which target.
 
-use super::{
-    Action, Dispatcher, SubmissionKey, forecast::OVERDUE_EXTENSION, job::Job, runs::extend_lease,
-};
+use super::{Action, Dispatcher, SubmissionKey, forecast::OVERDUE_EXTENSION, job::Job};
 use crate::state::{
     fleet_config::QueueName,
     job_submission::{Step, TaskId},
@@ -14,10 +12,6 @@
 /// Number of jobs whose next task fits nowhere at which a pass over the queue ends; tasks of the
 /// jobs behind them rarely fit either.
 const MAX_BLOCKED_JOBS: usize = 6;
-/// Factor by which a task is assumed to take longer on another rack than its data or the other
-/// tasks of its step.
-const OFF_RACK_FACTOR: f64 = 1.5;
-
 /// A target is preferred where a task would meet its job's objective even if it took this many
 /// times its expected run time, since half of all tasks take longer than expected.
 const OBJECTIVE_SAFETY: f64 = 1.7;
@@ -137,7 +131,7 @@
                 .expected_run_time(&job.submission.queue, step, t)
                 .mul_f64(job.run_time_ratio());
             if rack.as_ref().is_some_and(|rack| !t.info.has_label(rack)) {
-                run_time = run_time.mul_f64(OFF_RACK_FACTOR);
+                run_time = run_time.mul_f64(self.timing.off_rack_factor);
             }
             if now + run_time + chain_after > job.deadline {
                 return None;
@@ -249,7 +243,7 @@
     ) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let Some(target) = self.targets.get_mut(&best.id) else { return };
-        let Some(lease_end) = extend_lease(target, now) else {
+        let Some(lease_end) = self.timing.extend_lease(target, now) else {
             job.waiting_tasks.push_front(task);
             return;
         };
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -1,6 +1,6 @@
 //! Handles the replies of targets to start, stop and lease renewal requests.
 
-use super::{Action, Dispatcher, LogEvent, SubmissionKey, runs::extend_lease};
+use super::{Action, Dispatcher, LogEvent, SubmissionKey};
 use crate::state::{
     job_submission::{RunNumber, TaskId},
     target::{ClockReading, RunOutcome, RunState, TargetId, TargetReport, TargetTime},
@@ -10,11 +10,6 @@
 
 /// Time for which no task is started on a target after it refused one for lack of capacity.
 const FULL_TARGET_PAUSE: Duration = Duration::from_millis(25);
-/// Longest time from the confirmation of a stop to the end of the run, as the platform guarantees.
-pub(super) const MAX_STOP_DURATION: Duration = Duration::from_millis(50);
-/// Added to [`MAX_STOP_DURATION`] for differences of the target's clock and for the round trip.
-pub(super) const STOP_MARGIN: Duration = Duration::from_millis(15);
-
 /// Number of start requests sent for a run before it is stopped because none was answered.
 const MAX_START_ATTEMPTS: u32 = 2;
 /// Number of consecutive unanswered lease renewals after which a target is unresponsive.
@@ -38,8 +33,8 @@
     InsufficientCapacity,
     /// The target is overloaded or unavailable.
     Unhealthy,
-    /// The address belongs to another incarnation of the target.
-    OtherIncarnation,
+    /// The address belongs to another target.
+    OtherTarget,
     /// The target rejects the request as malformed.
     Invalid,
 }
@@ -66,8 +61,8 @@
     Stopped,
     /// The target has seen a higher fencing token.
     Fenced,
-    /// Another incarnation answered, so the run no longer exists.
-    OtherIncarnation,
+    /// Another target answered, so the run no longer exists.
+    OtherTarget,
     /// No valid answer arrived in time; the run may go on.
     Unknown,
 }
@@ -77,8 +72,8 @@
 pub enum LeaseRenewalError {
     /// The target has seen a higher fencing token.
     Fenced,
-    /// Another incarnation of the target answered.
-    OtherIncarnation,
+    /// Another target answered.
+    OtherTarget,
     /// No connection to the target can be made.
     Unreachable,
     /// The request was sent, but no valid answer arrived in time.
@@ -116,8 +111,8 @@
             // run.
             reply if run.start_attempts > 1 => {
                 match reply {
-                    StartReply::Refused(StartRefusal::OtherIncarnation, _) => {
-                        self.on_other_incarnation(id, now)
+                    StartReply::Refused(StartRefusal::OtherTarget, _) => {
+                        self.on_other_target(id, now)
                     }
                     StartReply::Refused(StartRefusal::Fenced, _) => self.on_fenced(id),
                     _ => self.record_fault(id, now),
@@ -147,7 +142,7 @@
             && !is_unresponsive;
         let job = run.job.and_then(|key| self.jobs.get(&SubmissionKey(key)));
         let spec = job.filter(|_| may_resend).map(|job| job.submission.spec.clone());
-        let lease_end = spec.is_some().then(|| extend_lease(target, now)).flatten();
+        let lease_end = spec.is_some().then(|| self.timing.extend_lease(target, now)).flatten();
         let (Some(spec), Some(lease_end)) = (spec, lease_end) else {
             self.record_fault(id, now);
             self.stop_run(task, id, now);
@@ -187,7 +182,7 @@
             }
             StartRefusal::Unhealthy | StartRefusal::Invalid => self.record_fault(id, now),
             StartRefusal::Fenced => self.on_fenced(id),
-            StartRefusal::OtherIncarnation => self.on_other_incarnation(id, now),
+            StartRefusal::OtherTarget => self.on_other_target(id, now),
             StartRefusal::LeaseExpired => target.clock = None,
             StartRefusal::StaleRun => {}
         }
@@ -209,11 +204,11 @@
         match reply {
             StopReply::Stopped => {
                 if let RunState::Stopping { ends_by, .. } = &mut run.state {
-                    *ends_by = Some(now + MAX_STOP_DURATION);
+                    *ends_by = Some(now + self.timing.stop);
                 }
             }
             StopReply::Fenced => self.on_fenced(id),
-            StopReply::OtherIncarnation => self.on_other_incarnation(id, now),
+            StopReply::OtherTarget => self.on_other_target(id, now),
             StopReply::Unknown => {}
         }
         self.start_waiting_tasks(now);
@@ -235,7 +230,7 @@
         match reply {
             Ok(report) => self.on_report(id, sent, report, now),
             Err(LeaseRenewalError::Fenced) => self.on_fenced(id),
-            Err(LeaseRenewalError::OtherIncarnation) => self.on_other_incarnation(id, now),
+            Err(LeaseRenewalError::OtherTarget) => self.on_other_target(id, now),
             Err(LeaseRenewalError::Unreachable) => self.mark_unresponsive(id, now),
             Err(LeaseRenewalError::NoAnswer) => self.on_missed_answer(id, now),
         }
@@ -244,10 +239,13 @@
 
     fn on_report(&mut self, id: &TargetId, sent: Moment, report: TargetReport, now: Moment) {
         let Some(target) = self.targets.get_mut(id) else { return };
-        if report.incarnation.is_some_and(|incarnation| incarnation != target.info.incarnation) {
-            self.on_other_incarnation(id, now);
-            return;
+        if let Some(incarnation) = report.incarnation {
+            if incarnation < target.info.incarnation {
+                return; // The answer of a former incarnation arrived late.
+            }
+            self.update_incarnation(id, incarnation);
         }
+        let Some(target) = self.targets.get_mut(id) else { return };
         target.clock = latest_clock(target.clock, report.clock, now);
         target.last_report_at = now;
         target.missed_answers = 0;
@@ -372,9 +370,9 @@
         }
     }
 
-    /// Closes all runs of a target whose address belongs to another incarnation now; the target
-    /// list will have the new one.
-    fn on_other_incarnation(&mut self, id: &TargetId, now: Moment) {
+    /// Closes all runs of a target whose address belongs to another target now; the list will have
+    /// that one.
+    fn on_other_target(&mut self, id: &TargetId, now: Moment) {
         self.mark_unresponsive(id, now);
         self.close_all_runs(id, now);
     }
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -1,13 +1,12 @@
 //! Runs that may exist on targets: how they are stopped, closed and restarted.
 
 use super::{
-    Action, Dispatcher, LEASE_DURATION, LogEvent, MAX_LEASE_DURATION, SubmissionKey,
-    ownership::HIGH_LOSS_RATE,
-    replies::{MIN_PROGRESS_PERCENT, STOP_MARGIN},
+    Action, Dispatcher, LogEvent, SubmissionKey, ownership::HIGH_LOSS_RATE,
+    replies::MIN_PROGRESS_PERCENT,
 };
 use crate::state::{
     job_submission::{Outcome, RunNumber, TaskId},
-    target::{Run, RunOutcome, RunState, Target, TargetId, TargetTime},
+    target::{Run, RunOutcome, RunState, TargetId},
     time::Moment,
 };
 use std::{ops::RangeInclusive, time::Duration};
@@ -24,22 +23,6 @@
 const MAX_REPORT_AGE: Duration = Duration::from_millis(200);
 /// Relative error of a run time projected from progress: half a percent at 10% progress.
 const PROGRESS_ERROR: f64 = 0.05;
-/// Assumed time from the decision to stop a run to the start of the next run of its task.
-const RESTART_DELAY: Duration = Duration::from_millis(60);
-
-/// Returns a new end for the leases of a target's runs, on the target's clock. Returns `None` while
-/// the clock is unknown or a stop is unconfirmed, so that the run to be stopped ends with its
-/// lease.
-pub(super) fn extend_lease(target: &mut Target, now: Moment) -> Option<TargetTime> {
-    let clock = target.clock?;
-    if target.has_unconfirmed_stop(now) {
-        return None;
-    }
-    let lease_end = TargetTime(clock.earliest_at(now).0 + LEASE_DURATION.as_millis() as u64);
-    target.lease_end = target.lease_end.max(now + MAX_LEASE_DURATION);
-    Some(lease_end)
-}
-
 impl Dispatcher {
     /// Stops a run whose job was removed.
     pub(super) fn orphan_run(&mut self, task: TaskId, target: &TargetId) {
@@ -83,7 +66,7 @@
                     {
                         stops.push(key());
                     }
-                    RunState::Stopping { ends_by: Some(at), .. } if now > at + STOP_MARGIN => {
+                    RunState::Stopping { ends_by: Some(at), .. } if now > at => {
                         stopped.push((key(), run.number));
                     }
                     RunState::Running { since }
@@ -154,7 +137,8 @@
         let Some(step) = job.step(task).cloned() else { return };
         let may_restart = job.tasks.get(&task).is_some_and(|t| !t.restarted);
         let fastest = self.min_run_time(key, &step, now);
-        let in_time = fastest.is_some_and(|time| now + RESTART_DELAY + time <= job.deadline);
+        let in_time =
+            fastest.is_some_and(|time| now + self.timing.restart_delay + time <= job.deadline);
         if !may_restart || !in_time {
             self.abandon_job(key, "the progress of a run shows that the deadline can't be met");
             return;
--- /dev/null
+++ b/src/coordination/dispatch/timing.rs
@@ -0,0 +1,160 @@
+//! Timeouts of a dispatcher, derived from the bounds that the platform declares.
+
+use crate::state::{
+    target::{Target, TargetTime},
+    time::Moment,
+};
+use derive_more::{Display, Error};
+use std::time::Duration;
+
+/// Most that a target's clock runs slow, in percent: a lease lasts that much longer here.
+const CLOCK_DRIFT_PERCENT: u32 = 2;
+/// Added to the duration of a lease on this VM's clock, for late timers.
+const LEASE_MARGIN: Duration = Duration::from_millis(40);
+/// Shortest lease that is kept alive: a renewal is sent every third of it, and may take 50 ms.
+const MIN_LEASE: Duration = Duration::from_millis(150);
+/// Longest lease that is requested; a longer one only makes takeovers slower.
+const MAX_LEASE: Duration = Duration::from_millis(900);
+/// Added to the longest duration of a stop, for the target's clock and the round trip.
+const STOP_MARGIN: Duration = Duration::from_millis(15);
+/// Time from the end of a stopped run to the start of the next run of its task.
+const RESTART_MARGIN: Duration = Duration::from_millis(10);
+
+/// Bounds that the platform declares for leases and runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RunBounds {
+    /// Longest lease that a target grants.
+    pub max_lease: Duration,
+    /// Longest time from the confirmation of a stop to the end of the run.
+    pub max_stop: Duration,
+    /// Time after which a caller whose connection broke submits its job again.
+    pub resubmit_delay: Duration,
+    /// Factor by which tasks take longer on another rack than their data or the other tasks of
+    /// their step.
+    pub off_rack_factor: f64,
+}
+
+impl Default for RunBounds {
+    fn default() -> Self {
+        RunBounds {
+            max_lease: Duration::from_millis(1_000),
+            max_stop: Duration::from_millis(50),
+            resubmit_delay: Duration::from_millis(1_300),
+            off_rack_factor: 1.5,
+        }
+    }
+}
+
+/// Why no timeouts can be derived from bounds.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq)]
+pub enum TimingError {
+    /// Leases would expire between two renewals.
+    #[display(
+        "leases of {lease:?} are too short, {MIN_LEASE:?} are needed: they may last at most \
+         {max_lease:?}, and must end before jobs are submitted again after {resubmit_delay:?}"
+    )]
+    LeaseTooShort {
+        /// Longest lease that keeps both bounds.
+        lease: Duration,
+        /// [`RunBounds::max_lease`].
+        max_lease: Duration,
+        /// [`RunBounds::resubmit_delay`].
+        resubmit_delay: Duration,
+    },
+    /// The factor is not a number from 1 on.
+    #[display("the off-rack factor is {factor}, at least 1 is needed")]
+    OffRackFactor {
+        /// [`RunBounds::off_rack_factor`].
+        factor: f64,
+    },
+}
+
+/// Timeouts of a dispatcher.
+///
+/// ```
+/// use cranberrytray::coordination::dispatch::timing::{RunBounds, Timing};
+/// use std::time::Duration;
+///
+/// let timing = Timing::try_from(RunBounds::default()).unwrap();
+/// assert_eq!(timing.lease, Duration::from_millis(900));
+/// let short = RunBounds { max_lease: Duration::from_millis(100), ..RunBounds::default() };
+/// assert!(Timing::try_from(short).is_err());
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Timing {
+    /// Length of a lease on the target's clock.
+    pub lease: Duration,
+    /// Upper bound of a lease on this VM's clock.
+    pub lease_bound: Duration,
+    /// Longest time for which a target may delay the answer to a lease renewal while no run ends;
+    /// half a lease is left in case an answer is lost.
+    pub renewal_wait: Duration,
+    /// Time from the confirmation of a stop after which the run has ended.
+    pub stop: Duration,
+    /// Assumed time from the decision to stop a run to the start of the next run of its task.
+    pub restart_delay: Duration,
+    /// Longest gap between two calls before the process counts as suspended; after a longer one,
+    /// leases may have expired.
+    pub suspension_threshold: Duration,
+    /// As [`RunBounds::off_rack_factor`].
+    pub off_rack_factor: f64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing::derive(RunBounds::default())
+    }
+}
+
+impl Timing {
+    fn derive(bounds: RunBounds) -> Self {
+        // A run must have ended before its job may be submitted again, with a quarter to spare.
+        let before_resubmission = (bounds.resubmit_delay * 3 / 4).saturating_sub(LEASE_MARGIN)
+            * 100
+            / (100 + CLOCK_DRIFT_PERCENT);
+        let lease = (bounds.max_lease * 9 / 10).min(before_resubmission).min(MAX_LEASE);
+        let lease = Duration::from_millis(lease.as_millis() as u64);
+        Timing {
+            lease,
+            lease_bound: lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN,
+            renewal_wait: lease / 3,
+            stop: bounds.max_stop + STOP_MARGIN,
+            restart_delay: bounds.max_stop + RESTART_MARGIN,
+            suspension_threshold: lease * 13 / 18,
+            off_rack_factor: bounds.off_rack_factor,
+        }
+    }
+
+    /// Returns a new end for the leases of a target's runs, on the target's clock. Returns `None`
+    /// while the clock is unknown or a stop is unconfirmed, so that the run to be stopped ends with
+    /// its lease.
+    pub(super) fn extend_lease(&self, target: &mut Target, now: Moment) -> Option<TargetTime> {
+        let clock = target.clock?;
+        if target.has_unconfirmed_stop(now) {
+            return None;
+        }
+        let lease_end = TargetTime(clock.earliest_at(now).0 + self.lease.as_millis() as u64);
+        target.lease_end = target.lease_end.max(now + self.lease_bound);
+        Some(lease_end)
+    }
+}
+
+impl TryFrom<RunBounds> for Timing {
+    type Error = TimingError;
+
+    fn try_from(bounds: RunBounds) -> Result<Self, TimingError> {
+        let factor = bounds.off_rack_factor;
+        if !(1.0..=1e3).contains(&factor) {
+            return Err(TimingError::OffRackFactor { factor });
+        }
+        let timing = Timing::derive(bounds);
+        if timing.lease < MIN_LEASE {
+            return Err(TimingError::LeaseTooShort {
+                lease: timing.lease,
+                max_lease: bounds.max_lease,
+                resubmit_delay: bounds.resubmit_delay,
+            });
+        }
+        Ok(timing)
+    }
+}
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -111,8 +111,12 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let epoch = (self.highest_epoch.get() + 1).max(unix.as_millis() as u64 / EPOCH_UNIT_MS);
         self.highest_epoch.set(epoch);
-        let mut core =
-            Dispatcher::new(fencing_token(epoch, self.me.vm.as_str()), Arc::clone(&config), now);
+        let mut core = Dispatcher::new(
+            fencing_token(epoch, self.me.vm.as_str()),
+            Arc::clone(&config),
+            self.timing,
+            now,
+        );
         let predecessor_has_targets = !kept.is_empty();
         core.set_predecessor_targets(kept, now);
         log::info!("dispatch: this VM is now the dispatcher of {}, epoch {epoch}", self.me.zone);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,6 +17,7 @@
         Counts, RunRequest, SpareCpu,
         ownership::LeaseRenewal,
         replies::{LeaseRenewalError, StartReply, StopReply},
+        timing::Timing,
     },
     protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot, ZoneDispatcher},
     state::{
@@ -66,6 +67,7 @@
 pub struct Node<T> {
     me: Peer,
     targets: T,
+    timing: Timing,
     clock: Clock,
     config: RefCell<Option<Arc<FleetConfig>>>,
     peers: RefCell<IndexMap<VmName, Peer>>,
@@ -106,10 +108,11 @@
     T: TargetClient,
 {
     /// Creates a VM without configuration, peers and targets.
-    pub fn new(me: Peer, targets: T) -> Rc<Self> {
+    pub fn new(me: Peer, targets: T, timing: Timing) -> Rc<Self> {
         Rc::new(Node {
             me,
             targets,
+            timing,
             clock: Clock::new(),
             config: RefCell::default(),
             peers: RefCell::default(),
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a zone's dispatcher with fake targets, in virtual time and without a network.
 
+mod bounds;
 mod load;
 mod ownership;
 mod runs;
--- a/tests/dispatch/ownership.rs
+++ b/tests/dispatch/ownership.rs
@@ -3,7 +3,7 @@
 use crate::simulation::{Fault, LONG, Simulation, URGENT, ms, submission, target_info};
 use cranberrytray::state::{
     job_submission::{CallerJobId, Outcome, TaskId},
-    target::{FencingToken, TargetId},
+    target::{FencingToken, TargetId, TargetIncarnation, TargetReport},
 };
 
 fn task(job: u64) -> TaskId {
@@ -192,3 +192,56 @@
     assert!(sim.target(0).starts.len() < 20, "{}", sim.target(0).starts.len());
     assert!(done > 50, "{done}");
 }
+
+/// Guards against two runs of a task at once: a target restarts under its old name and accepts a
+/// start that was meant for its former incarnation, before its first report.
+#[test]
+fn run_on_a_restarted_target_runs_nowhere_else() {
+    for learned_from_list in [false, true] {
+        let mut sim = Simulation::new(2).take_over();
+        sim.run(ms(310));
+        let now = sim.now;
+        sim.target(0).restart(now);
+        let key = sim.submit(submission(1, LONG, 4, ms(400)));
+        assert_eq!(sim.target(0).running(), 2, "started before the restart is known");
+        if learned_from_list {
+            sim.run(ms(5));
+            sim.change_target(0, |info| info.incarnation = TargetIncarnation(2));
+        }
+        sim.run(ms(600));
+        assert_eq!(sim.duplicate_runs, []);
+        assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+        assert_eq!(sim.start_count(), 4, "no run is lost");
+    }
+}
+
+/// The runs of a target end when it restarts: their tasks are repeated once that is known.
+#[test]
+fn runs_of_a_former_incarnation_are_repeated() {
+    let mut sim = Simulation::new(2).take_over();
+    let key = sim.submit(submission(1, LONG, 4, ms(300)));
+    sim.run(ms(50));
+    let now = sim.now;
+    sim.target(0).restart(now);
+    sim.run(ms(900));
+    assert_eq!(sim.duplicate_runs, []);
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+    assert_eq!(sim.start_count(), 6);
+}
+
+/// A report of the former incarnation that arrives late says nothing of the present one.
+#[test]
+fn late_report_of_a_former_incarnation_is_ignored() {
+    let mut sim = Simulation::new(1).take_over();
+    let now = sim.now;
+    sim.target(0).restart(now);
+    sim.run(ms(320));
+    let key = sim.submit(submission(1, LONG, 2, ms(300)));
+    sim.run(ms(50));
+    let id = target_info(0).id;
+    let late = TargetReport { incarnation: Some(TargetIncarnation(1)), ..TargetReport::default() };
+    sim.dispatcher.on_lease_renewal_reply(&id, sim.now, Ok(late), sim.now);
+    sim.process_actions();
+    sim.run(ms(400));
+    assert_eq!((sim.outcome(key), sim.start_count()), (Some(Outcome::Completed), 2));
+}
--- a/tests/dispatch/runs.rs
+++ b/tests/dispatch/runs.rs
@@ -164,7 +164,7 @@
 
     let mut sim = Simulation::new(2);
     let keys = [1, 2].map(|_| sim.submit_with(submission(7, URGENT, 1, ms(60)), false, true));
-    keys.map(|key| sim.dispatcher.cancel(key, sim.now));
+    keys.iter().for_each(|key| sim.dispatcher.cancel(*key, sim.now));
     sim.publish_targets();
     sim.run(ms(1_200));
     assert_eq!((sim.start_count(), sim.dispatcher.open_jobs()), (0, 0));
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -6,6 +6,7 @@
         Action, Dispatcher, LogEvent, RunRequest, SubmissionKey,
         ownership::TargetListStatus,
         replies::{LeaseRenewalError, StartRefusal, StartReply, StopReply},
+        timing::{RunBounds, Timing},
     },
     state::{
         fleet_config::{
@@ -147,6 +148,9 @@
     renewal_count: u64,
     lost_starts: Vec<TaskId>,
     is_watched: bool,
+    incarnation: TargetIncarnation,
+    /// Time at which the target's clock shows zero.
+    clock_start: Moment,
 }
 
 impl Default for FakeTarget {
@@ -166,6 +170,8 @@
             renewal_count: 0,
             lost_starts: Vec::new(),
             is_watched: false,
+            incarnation: TargetIncarnation(1),
+            clock_start: Moment::ZERO,
         }
     }
 }
@@ -175,6 +181,30 @@
         self.runs.len()
     }
 
+    /// Restarts the target under the same name: it knows nothing of before, and its clock and the
+    /// numbers of its ended runs begin anew.
+    pub fn restart(&mut self, now: Moment) {
+        *self = FakeTarget {
+            speed: self.speed,
+            incarnation: TargetIncarnation(self.incarnation.0 + 1),
+            clock_start: now,
+            is_watched: self.is_watched,
+            next_renewal: self.next_renewal,
+            starts: std::mem::take(&mut self.starts),
+            ..FakeTarget::default()
+        };
+    }
+
+    fn clock(&self, now: Moment) -> TargetTime {
+        TargetTime((now - self.clock_start).as_millis() as u64)
+    }
+
+    /// Extends the lease of all runs to `end` on the target's clock, or as far as it is allowed.
+    fn extend_lease(&mut self, end: TargetTime, max_lease: Duration, now: Moment) {
+        let end = (self.clock_start + ms(end.0)).min(now + max_lease);
+        self.lease_end = self.lease_end.max(end);
+    }
+
     /// Adds a run that an earlier dispatcher started.
     pub fn add_earlier_run(&mut self, task: TaskId, duration: Duration, now: Moment) {
         let ends_at = Some(now + duration);
@@ -216,8 +246,8 @@
             RunningRun { task: *task, run: run.number, progress_percent: percent }
         });
         TargetReport {
-            clock: TargetTime(now.since_start().as_millis() as u64),
-            incarnation: Some(TargetIncarnation(1)),
+            clock: self.clock(now),
+            incarnation: Some(self.incarnation),
             running: running.collect(),
             ended: self.ended.clone(),
         }
@@ -235,14 +265,23 @@
     pub log: Vec<(Moment, LogEvent)>,
     list: Vec<TargetInfo>,
     pub list_status: TargetListStatus,
+    /// Bounds that the targets keep to.
+    bounds: RunBounds,
 }
 
 impl Simulation {
     pub fn new(targets: usize) -> Self {
+        Simulation::with_bounds(targets, RunBounds::default())
+    }
+
+    /// Creates targets that take the longest time for stops and grant the longest leases that
+    /// `bounds` allow.
+    pub fn with_bounds(targets: usize, bounds: RunBounds) -> Self {
+        let timing = Timing::try_from(bounds).unwrap();
         let now = Moment::new(ms(10_000));
         let mut sim = Simulation {
             now,
-            dispatcher: Dispatcher::new(FencingToken(100), Arc::new(config(1)), now),
+            dispatcher: Dispatcher::new(FencingToken(100), Arc::new(config(1)), timing, now),
             targets: IndexMap::new(),
             answers: IndexMap::new(),
             redirected: Vec::new(),
@@ -250,6 +289,7 @@
             log: Vec::new(),
             list: (0..targets).map(target_info).collect(),
             list_status: TargetListStatus { is_current: true, is_complete: true },
+            bounds,
         };
         for info in &sim.list {
             sim.targets.insert(info.id.clone(), FakeTarget::default());
@@ -377,8 +417,8 @@
             target.fencing_token = renewal.fencing_token;
             target.reported_end = renewal.last_end;
             target.ended.retain(|end| end.sequence > renewal.last_end);
-            if let Some(TargetTime(lease_end)) = renewal.lease_end {
-                target.lease_end = target.lease_end.max(Moment::new(ms(lease_end)));
+            if let Some(end) = renewal.lease_end {
+                target.extend_lease(end, self.bounds.max_lease, now);
             }
             let report = target.report(now);
             target.reported_end = target.ended.last().map_or(renewal.last_end, |end| end.sequence);
@@ -425,7 +465,7 @@
     fn start(&mut self, request: &RunRequest, spec: &str, lease_end: TargetTime) {
         let now = self.now;
         let target = &mut self.targets[&request.target];
-        let clock = TargetTime(now.since_start().as_millis() as u64);
+        let clock = target.clock(now);
         let used: u64 = target.runs.values().map(|run| run.cpu).sum();
         let reply = if target.fault == Fault::Unresponsive {
             StartReply::Unknown
@@ -461,7 +501,7 @@
             };
             target.runs.insert(request.task, run);
             target.starts.push((request.task, now));
-            target.lease_end = target.lease_end.max(Moment::new(ms(lease_end.0)));
+            target.extend_lease(lease_end, self.bounds.max_lease, now);
             match target.fault {
                 Fault::LosesStartReplies | Fault::UnreachableAfterStart => StartReply::Unknown,
                 _ => StartReply::Started(clock),
@@ -482,8 +522,7 @@
                 target.runs.get_mut(&request.task).filter(|r| r.number == request.run)
                 && run.outcome != RunOutcome::Stopped
             {
-                // The longest time that the platform allows for a stop.
-                run.ends_at = Some(now + ms(50));
+                run.ends_at = Some(now + self.bounds.max_stop);
                 run.outcome = RunOutcome::Stopped;
             }
             StopReply::Stopped
