Follow the list of targets on the strongest VMs of a zone only

Cause: every VM read the whole list of targets, also those that never dispatch.

Weighed: a peer that passes the list on, which saves more but adds a second source that a takeover has to trust. Chosen: the dispatcher and the three strongest VMs of a zone follow the list; others read it when their zone has no dispatcher and they know no target, or when they are elected.

Test: standby_three_strongest_vms_of_a_zone.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -15,6 +15,11 @@
 /// Rounds after which a VM becomes dispatcher although a VM of higher rank answers.
 const MAX_ROUNDS_OUTRANKED: u32 = 8;
 
+/// Number of VMs of a zone, the first by rank, that keep the list of targets up to date to take over
+/// at any moment. Others read it when they are elected, since reads by all VMs would grow with the
+/// product of VMs and targets.
+const STANDBY_VMS: usize = 3;
+
 /// A zone that has been without a dispatcher for this long has VMs that can't elect one, since they
 /// are cut off or have no configuration. An election takes a third of it.
 const MAX_ELECTION_DURATION: Duration = Duration::from_millis(900);
@@ -99,6 +104,14 @@
     }
 }
 
+/// Whether a VM is one of those that take over first. `others` are the other known VMs of its zone.
+pub fn is_standby<I>(rank: &Rank, others: I) -> bool
+where
+    I: IntoIterator<Item = Rank>,
+{
+    others.into_iter().filter(|other| other < rank).count() < STANDBY_VMS
+}
+
 /// Whether a job should wait for the election of its zone's dispatcher: the election is probably in
 /// progress, and the job can still be run after it. `missing_for` is the time for which the zone
 /// has been without a dispatcher, `waited` the time since the job was submitted.
--- a/src/fleet/election.rs
+++ b/src/fleet/election.rs
@@ -161,6 +161,9 @@
                 continue;
             }
             rounds += 1;
+            if self.zone_targets().is_empty() {
+                self.targets_wanted.notify_one();
+            }
             let peers = self.zone_peers();
             let addresses: Vec<SocketAddr> = peers.iter().map(|p| p.address).collect();
             let links = tokio::select! {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,11 +13,14 @@
 pub mod metrics;
 
 use crate::{
-    coordination::dispatch::{
-        Counts, RunRequest, SpareCpu,
-        ownership::LeaseRenewal,
-        replies::{LeaseRenewalError, StartReply, StopReply},
-        timing::Timing,
+    coordination::{
+        dispatch::{
+            Counts, RunRequest, SpareCpu,
+            ownership::LeaseRenewal,
+            replies::{LeaseRenewalError, StartReply, StopReply},
+            timing::Timing,
+        },
+        election::is_standby,
     },
     protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot, ZoneDispatcher},
     state::{
@@ -172,11 +175,6 @@
         }
     }
 
-    /// Removes a VM that has left from the known peers.
-    pub fn forget_peer(&self, vm: &VmName) {
-        self.peers.borrow_mut().shift_remove(vm);
-    }
-
     /// Adds or updates a peer, unless the same or a later incarnation of it is known.
     fn add_peer(&self, peer: Peer) {
         if peer.vm == self.me.vm {
@@ -229,6 +227,14 @@
         found
     }
 
+    /// Whether this VM keeps the list of targets up to date: it is the dispatcher, or one of the VMs
+    /// of its zone that would be elected next.
+    pub fn follows_targets(&self) -> bool {
+        let others = self.zone_peers();
+        self.is_dispatcher()
+            || is_standby(&election::rank(&self.me), others.iter().map(election::rank))
+    }
+
     /// Whether new requests should be sent to this VM: it has a configuration, its zone has a
     /// dispatcher, and it is not leaving.
     pub fn is_ready(&self) -> bool {
--- a/tests/dispatch/steps.rs
+++ b/tests/dispatch/steps.rs
@@ -45,7 +45,8 @@
 
 #[test]
 fn steps_run_in_their_order() {
-    let cases: [(&str, &[u32], &[&[u32]]); 6] = [
+    type Case = (&'static str, &'static [u32], &'static [&'static [u32]]);
+    let cases: [Case; 6] = [
         ("chain", &[2, 2, 2], &[&[], &[0], &[1]]),
         ("chain of five", &[1, 2, 1, 2, 1], &[&[], &[0], &[1], &[2], &[3]]),
         ("diamond", &[1, 2, 2, 1], &[&[], &[0], &[0], &[1, 2]]),
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -1,7 +1,7 @@
 //! Rules of the election of a zone's dispatcher, and which jobs wait for it.
 
 use cranberrytray::coordination::election::{
-    Answer, Decision, Rank, Round, should_await_dispatcher,
+    Answer, Decision, Rank, Round, is_standby, should_await_dispatcher,
 };
 use std::time::Duration;
 
@@ -95,3 +95,14 @@
 fn await_dispatcher_deadline_is_near() {
     assert!(!should_await_dispatcher(ms(100), ms(0), ms(80)));
 }
+
+/// Hundreds of VMs: only the strongest of each zone follow the list of targets, whatever their
+/// number, as all of them would read some gigabytes from the store.
+#[test]
+fn standby_three_strongest_vms_of_a_zone() {
+    let zone: Vec<Rank> = (0..60).map(|n| rank(500 - n / 4, &format!("vm-{n:02}"))).collect();
+    let others = |me: &Rank| zone.iter().filter(|r| *r != me).cloned().collect::<Vec<_>>();
+    let standby: Vec<&Rank> = zone.iter().filter(|me| is_standby(me, others(me))).collect();
+    assert_eq!(standby, zone.iter().take(3).collect::<Vec<_>>());
+    assert!(is_standby(&zone[0], Vec::new()));
+}
