Refuse jobs at once that no target can run

Cause: a job whose tasks are larger than every target, or need a label that none has, was queued until its deadline, since the forecast counts slots only; if only a later step could not run, its first steps ran for nothing.

Change: admission checks that each step has a target of the queue's pool that could run its tasks if it were idle. If this zone has none, the job is redirected once to another zone, whose targets may differ, and refused where that has none either.

Tests, which failed first: job_that_no_target_can_run_is_refused_at_once (five cases) and job_that_no_target_here_can_run_is_redirected. Not measured by itself: on the users' sites the jobs that can't be done are such that fail wherever they run.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -170,14 +170,16 @@
         let cpu: u64 =
             job.submission.steps.iter().map(|s| s.needs.cpu.0 * u64::from(s.count)).sum();
         let late = end.is_none_or(|end| end > job.objective);
+        let is_servable = self.is_servable(&job.submission, &queue);
         let zone = match origin {
+            Origin::Caller if !is_servable => self.best_remote_zone(0, now, |s| s.total_millicores),
             Origin::Caller => self.choose_remote_zone(&job, late, cpu, now),
             Origin::OtherZone | Origin::Deferred => None,
         };
         if let Some(zone) = zone {
             return self.redirect_to_zone(key, id, zone, cpu, now);
         }
-        let Some(end) = end else {
+        let Some(end) = end.filter(|_| is_servable) else {
             return self.refuse(
                 &keys,
                 &job.submission,
@@ -240,6 +242,18 @@
         job
     }
 
+    /// Whether each step has a target that could run its tasks if it were idle.
+    fn is_servable(&self, submission: &JobSubmission, queue: &Queue) -> bool {
+        let can_run = |step: &Step, target: &Target| {
+            target.info.pool == queue.pool
+                && !target.info.draining
+                && step.needs.fits_in(target.info.capacity)
+                && step.required.as_ref().is_none_or(|label| target.info.has_label(label))
+        };
+        let mut steps = submission.steps.iter().filter(|step| step.count > 0);
+        steps.all(|step| self.targets.values().any(|target| can_run(step, target)))
+    }
+
     /// Returns the zone that a job should be redirected to, if any. `cpu` is what all tasks of the
     /// job take together, in thousandths of a core; `late` is whether it would miss its objective
     /// here.
--- a/tests/dispatch/load.rs
+++ b/tests/dispatch/load.rs
@@ -3,7 +3,11 @@
 use crate::simulation::{Fault, LONG, Simulation, URGENT, ms, submission};
 use cranberrytray::{
     coordination::dispatch::{SpareCpu, SubmissionKey},
-    state::job_submission::{Outcome, Refusal},
+    state::{
+        fleet_config::Label,
+        job_submission::{Outcome, Refusal, Step},
+        resources::{Accelerators, Mebibytes, MilliCores},
+    },
 };
 
 /// Number of jobs by outcome, and the latency of the slowest refusal.
@@ -293,3 +297,46 @@
     assert!(tally.in_time >= 399, "{tally:?} of {}", jobs.len());
     assert_eq!(sim.duplicate_runs, []);
 }
+
+/// Jobs that can never be done: no target of the queue's pool has the size or the label that a step
+/// asks for, be it the last one. They are refused when they arrive, and nothing of them runs.
+#[test]
+fn job_that_no_target_can_run_is_refused_at_once() {
+    let cases: [(&str, fn(&mut Step)); 5] = [
+        ("cpu", |step| step.needs.cpu = MilliCores(32_001)),
+        ("memory", |step| step.needs.memory = Mebibytes(64_001)),
+        ("accelerators", |step| step.needs.accelerators = Accelerators(1)),
+        ("label", |step| step.required = Some(Label::from("none"))),
+        ("several targets", |step| step.needs.cpu = MilliCores(64_000)),
+    ];
+    for (name, change) in cases {
+        let mut sim = Simulation::new(2).take_over();
+        let mut job = submission(1, URGENT, 1, ms(60));
+        let mut last = job.steps[0].clone();
+        last.after = vec![0];
+        change(&mut last);
+        job.steps.push(last);
+        let key = sim.submit(job);
+        assert!(
+            matches!(sim.outcome(key), Some(Outcome::NotRun { refusal: Refusal::NoTarget, .. })),
+            "{name}: {:?}",
+            sim.outcome(key)
+        );
+        assert_eq!(sim.start_count(), 0, "{name}");
+    }
+}
+
+/// Only another zone has a target with the label: the job is redirected there.
+#[test]
+fn job_that_no_target_here_can_run_is_redirected() {
+    let mut sim = Simulation::new(2).take_over();
+    let address = ([127, 0, 0, 1], 9_999).into();
+    let spare = SpareCpu { total_millicores: 1_000, fast_millicores: 0 };
+    sim.dispatcher.update_remote_zone("other".parse().unwrap(), address, spare, sim.now);
+    let mut job = submission(1, URGENT, 1, ms(60));
+    job.steps[0].required = Some(Label::from("elsewhere"));
+    let key = sim.submit_with(job.clone(), true, false);
+    assert_eq!(sim.redirected, [(key, address)]);
+    let back = sim.submit_with(job, false, false);
+    assert!(matches!(sim.outcome(back), Some(Outcome::NotRun { refusal: Refusal::NoTarget, .. })));
+}
