Answer jobs that a stopping VM can't wait for

Jobs that arrive after SIGTERM had a bound already.

Test: terminated_vm_answers_what_it_admitted_before; with the answer switched off, the caller saw the connection end.

--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -14,6 +14,7 @@
 };
 use std::{
     net::SocketAddr,
+    pin::pin,
     rc::{Rc, Weak},
     time::{Duration, Instant},
 };
@@ -54,7 +55,11 @@
     pub async fn submit(self: &Rc<Self>, submission: JobSubmission) -> Outcome {
         let begun = Instant::now();
         let id = submission.id;
-        let outcome = self.submit_until_answered(submission, begun).await;
+        let outcome = tokio::select! {
+            outcome = self.submit_until_answered(submission, begun) => outcome,
+            // Tasks may have run, and the caller would get no answer otherwise.
+            () = self.about_to_exit() => Outcome::Unknown,
+        };
         let took = begun.elapsed();
         self.metrics.answered(outcome, took);
         if outcome != Outcome::Completed
@@ -123,6 +128,16 @@
         should_await_dispatcher(self.dispatcher_missing_for(), waited, time_to_deadline)
     }
 
+    /// Waits until this process can barely send an answer before it exits.
+    async fn about_to_exit(&self) {
+        let mut leaving = pin!(self.leaving.notified());
+        leaving.as_mut().enable();
+        if !self.is_leaving() {
+            leaving.await;
+        }
+        sleep(self.time_to_exit()).await;
+    }
+
     /// Time left in which this process can still send an answer before it exits; unlimited if it is
     /// not stopping.
     fn time_to_exit(&self) -> Duration {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -97,6 +97,8 @@
     highest_epoch: Cell<u64>,
     /// When the process exits, once it is stopping.
     exits_at: Cell<Option<Instant>>,
+    /// Signals that [`Node::exits_at`] is set.
+    leaving: Notify,
     /// Whether the configuration is being fetched from a peer.
     fetching_config: Cell<bool>,
     started: Instant,
@@ -131,6 +133,7 @@
             dispatcher_hints: RefCell::default(),
             highest_epoch: Cell::new(0),
             exits_at: Cell::new(None),
+            leaving: Notify::new(),
             fetching_config: Cell::new(false),
             started: Instant::now(),
             decision_log: RefCell::default(),
@@ -257,6 +260,7 @@
     /// can't be done by then are refused.
     pub fn leave(self: &Rc<Self>, span: Duration) {
         self.exits_at.set(Some(Instant::now() + span));
+        self.leaving.notify_waiters();
         spawn_local(Rc::clone(self).hand_over_zone());
     }
 
