--- a/src/state/fleet_config.rs
+++ b/src/state/fleet_config.rs
@@ -81,6 +81,10 @@
     /// Longest time from the arrival of a request to its answer, also if the caller's deadline is
     /// later.
     pub timeout: Duration,
+    /// Whether an outside policy decides which targets may run the tasks; such queues are not
+    /// served.
+    #[serde(default)]
+    pub needs_advice: bool,
 }
 
 /// A pool of targets.
--- a/tests/dispatch/load.rs
+++ b/tests/dispatch/load.rs
@@ -302,7 +302,8 @@
 /// asks for, be it the last one. They are refused when they arrive, and nothing of them runs.
 #[test]
 fn job_that_no_target_can_run_is_refused_at_once() {
-    let cases: [(&str, fn(&mut Step)); 5] = [
+    type Case = (&'static str, fn(&mut Step));
+    let cases: [Case; 5] = [
         ("cpu", |step| step.needs.cpu = MilliCores(32_001)),
         ("memory", |step| step.needs.memory = Mebibytes(64_001)),
         ("accelerators", |step| step.needs.accelerators = Accelerators(1)),
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -43,6 +43,7 @@
         objective_factor: 1.6,
         objective_base: ms(60),
         timeout: ms(1_500),
+        needs_advice: false,
     };
     FleetConfig {
         version: ConfigVersion(version),
