Elect one dispatcher where all VMs of a large zone return at once

Connections take longer than a round on VMs of 0.09 core while each connects to all others, so that each believed it was alone and needed only one answer from another zone.

Change: a VM waits 40 ms longer for each stronger VM that is known, without the lost dispatcher. In a round it connects to the four strongest VMs and two others, not to all, and follows the dispatcher that any of them names. Jobs that arrive before a new dispatcher's first read of the list wait for it.

Tests: decide_all_vms_of_a_large_zone_return_at_once, decide_weaker_vms_wait_longer, peers_of_round_covers_a_large_zone, job_waits_for_the_first_list.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -78,6 +78,7 @@
             earlier.resumed |= resumed;
         } else if self.orphaned_runs.contains_key(&submission.id)
             || resumed && !self.has_no_earlier_runs(now)
+            || self.awaits_first_list(now)
         {
             let keys = vec![key];
             self.deferred.push(DeferredSubmission { keys, submission, arrived_at: now, resumed });
@@ -103,6 +104,9 @@
 
     /// Decides on deferred submissions whose earlier runs are closed.
     pub(super) fn admit_deferred(&mut self, now: Moment) {
+        if self.awaits_first_list(now) {
+            return;
+        }
         let no_earlier_runs = self.has_no_earlier_runs(now);
         let deferred = std::mem::take(&mut self.deferred);
         let (ready, rest) = deferred.into_iter().partition::<Vec<_>, _>(|d| {
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -172,6 +172,13 @@
         })
     }
 
+    /// Whether no target is known yet because the list is being read for the first time.
+    pub(super) fn awaits_first_list(&self, now: Moment) -> bool {
+        self.targets.is_empty()
+            && !self.list_status.is_current
+            && now - self.created_at <= LIST_READ_TIMEOUT
+    }
+
     /// Whether tasks may be started on a target.
     pub(super) fn is_usable(&self, target: &Target, now: Moment) -> bool {
         let current = self.list_status.is_current || now - self.created_at > LIST_READ_TIMEOUT;
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -12,6 +12,12 @@
 /// A VM that reaches no other one, or has no targets listed, becomes dispatcher only after its zone
 /// was without one for this long: it is probably cut off, and the other VMs have a dispatcher.
 const ISOLATION_GRACE: Duration = Duration::from_millis(2_500);
+/// For each VM that comes before it by rank, a VM waits this much longer until it becomes
+/// dispatcher. When all VMs of a zone return at once, connections take longer than a round on the
+/// weak ones, which would all believe that they are alone.
+const STAGGER: Duration = Duration::from_millis(40);
+/// Longest wait for VMs that come before by rank.
+const MAX_STAGGER: Duration = Duration::from_millis(480);
 /// Rounds after which a VM becomes dispatcher although a VM of higher rank answers.
 const MAX_ROUNDS_OUTRANKED: u32 = 8;
 
@@ -20,6 +26,11 @@
 /// product of VMs and targets.
 const STANDBY_VMS: usize = 3;
 
+/// Number of the strongest VMs of a zone that a VM connects to in each round.
+const STRONGEST_PER_ROUND: usize = 4;
+/// Number of other VMs that it connects to in a round.
+const OTHERS_PER_ROUND: usize = 2;
+
 /// A zone that has been without a dispatcher for this long has VMs that can't elect one, since they
 /// are cut off or have no configuration. An election takes a third of it.
 const MAX_ELECTION_DURATION: Duration = Duration::from_millis(900);
@@ -70,6 +81,8 @@
     pub has_targets: bool,
     /// Number of other VMs that are known in the zone.
     pub known_peers: usize,
+    /// Number of these that come before this VM by rank, without the dispatcher that was lost.
+    pub stronger_peers: usize,
     /// VMs of the zone that answered.
     pub answers: Vec<Answer>,
 }
@@ -89,7 +102,9 @@
     /// Decides what this VM does after the round.
     pub fn decide(&self) -> Decision {
         let waits_out_isolation = self.missing_for < ISOLATION_GRACE;
-        if !self.is_able || self.uptime < START_GRACE || !self.has_targets && waits_out_isolation {
+        let stagger = STAGGER.saturating_mul(self.stronger_peers as u32).min(MAX_STAGGER);
+        let is_early = self.missing_for < stagger || self.uptime < START_GRACE + stagger;
+        if !self.is_able || is_early || !self.has_targets && waits_out_isolation {
             return Decision::Wait;
         }
         let outranks = |answer: &Answer| !answer.leaving && answer.rank < self.rank;
@@ -104,6 +119,16 @@
     }
 }
 
+/// Selects the VMs that a VM without a dispatcher connects to in a round: the strongest of its zone,
+/// one of which usually dispatches, and some others, which change from round to round and may know
+/// the dispatcher. `peers` are the VMs of the zone, the strongest first.
+pub fn peers_of_round<P>(peers: &[P], round: u32) -> Vec<&P> {
+    let (strongest, others) = peers.split_at(peers.len().min(STRONGEST_PER_ROUND));
+    let first = round as usize * OTHERS_PER_ROUND % others.len().max(1);
+    let others = others.iter().cycle().skip(first).take(others.len().min(OTHERS_PER_ROUND));
+    strongest.iter().chain(others).collect()
+}
+
 /// Whether a VM is one of those that take over first. `others` are the other known VMs of its zone.
 pub fn is_standby<I>(rank: &Rank, others: I) -> bool
 where
--- a/src/fleet/election.rs
+++ b/src/fleet/election.rs
@@ -3,7 +3,7 @@
 
 use super::{Node, TargetClient};
 use crate::{
-    coordination::election::{Answer, Decision, Rank, Round},
+    coordination::election::{Answer, Decision, Rank, Round, peers_of_round},
     protocol::fleet::{Heartbeat, Peer},
     state::id::ZoneName,
     transport::fleet::PeerLink,
@@ -66,6 +66,7 @@
                 sleep(HEARTBEAT_INTERVAL).await;
             } else if let Some(link) = self.dispatcher_link() {
                 links.clear();
+                self.last_dispatcher.set(Some(link.address));
                 let last = link.last_heartbeat();
                 if !last.as_ref().is_some_and(|heartbeat| heartbeat.is_from_dispatcher()) {
                     *self.dispatcher_link.borrow_mut() = None;
@@ -165,7 +166,8 @@
                 self.targets_wanted.notify_one();
             }
             let peers = self.zone_peers();
-            let addresses: Vec<SocketAddr> = peers.iter().map(|p| p.address).collect();
+            let asked = peers_of_round(&peers, rounds);
+            let addresses: Vec<SocketAddr> = asked.into_iter().map(|p| p.address).collect();
             let links = tokio::select! {
                 links = self.connect_until(&addresses, HEARTBEAT_INTERVAL, is_dispatcher) => links,
                 () = self.dispatcher_announced.notified() => continue,
@@ -175,7 +177,11 @@
                 *self.dispatcher_link.borrow_mut() = Some(link);
                 return;
             }
-            let may_become = match self.election_round(&links, peers.len(), rounds).decide() {
+            self.connect_successor(named_dispatcher(&links)).await;
+            if self.dispatcher_link().is_some() {
+                return;
+            }
+            let may_become = match self.election_round(&links, &peers, rounds).decide() {
                 Decision::Wait => false,
                 Decision::BecomeIfConnected => self.reaches_other_zone().await,
                 Decision::Become => true,
@@ -188,18 +194,25 @@
     }
 
     /// What this VM knows after a round of the election. `links` are the connections made in it,
-    /// `known_peers` the number of VMs known in the zone.
-    fn election_round(&self, links: &[Rc<PeerLink>], known_peers: usize, number: u32) -> Round {
+    /// `peers` the other known VMs of the zone.
+    fn election_round(&self, links: &[Rc<PeerLink>], peers: &[Peer], number: u32) -> Round {
+        let own_rank = rank(&self.me);
         let heartbeats = links.iter().filter_map(|link| link.last_heartbeat());
         let answer = |h: Heartbeat| Answer { rank: rank(&h.from), leaving: h.leaving };
         Round {
-            rank: rank(&self.me),
+            stronger_peers: peers
+                .iter()
+                .filter(|peer| {
+                    rank(peer) < own_rank && Some(peer.address) != self.last_dispatcher.get()
+                })
+                .count(),
+            known_peers: peers.len(),
+            rank: own_rank,
             number,
             missing_for: self.dispatcher_missing_for(),
             uptime: self.started.elapsed(),
             is_able: self.config().is_some() && !self.is_leaving(),
             has_targets: !self.zone_targets().is_empty(),
-            known_peers,
             answers: heartbeats.map(answer).collect(),
         }
     }
@@ -283,6 +296,11 @@
     }
 }
 
+/// Returns the dispatcher that a VM of the zone follows, if any of them names one.
+fn named_dispatcher(links: &[Rc<PeerLink>]) -> Option<SocketAddr> {
+    links.iter().find_map(|link| link.last_heartbeat()?.dispatcher)
+}
+
 /// Returns the connection to the dispatcher with the highest epoch, if any peer is a dispatcher.
 fn best_dispatcher(links: &[Rc<PeerLink>]) -> Option<Rc<PeerLink>> {
     let dispatchers = links.iter().filter(|link| is_dispatcher(link));
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -79,6 +79,8 @@
     targets_wanted: Notify,
     /// When this VM last began to search for its zone's dispatcher.
     dispatcher_missing_since: Cell<Instant>,
+    /// Address of the dispatcher that this VM followed last.
+    last_dispatcher: Cell<Option<SocketAddr>>,
     /// Address of a dispatcher of this zone that has announced itself during the search.
     announced_dispatcher: Cell<Option<SocketAddr>>,
     /// Signals that [`Node::announced_dispatcher`] is set.
@@ -124,6 +126,7 @@
             known_targets: RefCell::default(),
             targets_wanted: Notify::new(),
             dispatcher_missing_since: Cell::new(Instant::now()),
+            last_dispatcher: Cell::default(),
             announced_dispatcher: Cell::default(),
             dispatcher_announced: Notify::new(),
             dispatcher: RefCell::default(),
--- a/tests/dispatch/ownership.rs
+++ b/tests/dispatch/ownership.rs
@@ -245,3 +245,23 @@
     sim.run(ms(400));
     assert_eq!((sim.outcome(key), sim.start_count()), (Some(Outcome::Completed), 2));
 }
+
+/// A job that arrives before the first read of the list waits for it instead of being refused.
+#[test]
+fn job_waits_for_the_first_list() {
+    let mut sim = Simulation::new(2);
+    sim.list_status.is_current = false;
+    let key = sim.submit(submission(1, URGENT, 2, ms(60)));
+    sim.run(ms(30));
+    assert_eq!(sim.outcome(key), None);
+    sim.list_status.is_current = true;
+    sim.publish_targets();
+    sim.run(ms(120));
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+    // The store can't be read.
+    let mut sim = Simulation::new(0);
+    sim.list_status.is_current = false;
+    let key = sim.submit(submission(1, URGENT, 2, ms(60)));
+    sim.run(ms(300));
+    assert!(matches!(sim.outcome(key), Some(Outcome::NotRun { .. })), "{:?}", sim.outcome(key));
+}
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -1,7 +1,7 @@
 //! Rules of the election of a zone's dispatcher, and which jobs wait for it.
 
 use cranberrytray::coordination::election::{
-    Answer, Decision, Rank, Round, is_standby, should_await_dispatcher,
+    Answer, Decision, Rank, Round, is_standby, peers_of_round, should_await_dispatcher,
 };
 use std::time::Duration;
 
@@ -23,6 +23,7 @@
         is_able: true,
         has_targets: true,
         known_peers: 2,
+        stronger_peers: 0,
         answers: vec![Answer { rank: rank(90, "c"), leaving: false }],
     }
 }
@@ -106,3 +107,68 @@
     assert_eq!(standby, zone.iter().take(3).collect::<Vec<_>>());
     assert!(is_standby(&zone[0], Vec::new()));
 }
+
+#[test]
+fn decide_weaker_vms_wait_longer() {
+    let third = Round { stronger_peers: 2, answers: Vec::new(), known_peers: 0, ..round() };
+    assert_eq!(third.decide(), Decision::Become);
+    assert_eq!(Round { missing_for: ms(60), ..third.clone() }.decide(), Decision::Wait);
+    assert_eq!(Round { uptime: ms(180), ..third.clone() }.decide(), Decision::Wait);
+    let last = Round { stronger_peers: 60, missing_for: ms(500), ..third };
+    assert_eq!(last.decide(), Decision::Become);
+}
+
+#[test]
+fn peers_of_round_covers_a_large_zone() {
+    let peers: Vec<u32> = (0..60).collect();
+    let mut seen: Vec<u32> = Vec::new();
+    for round in 1..=28 {
+        let asked = peers_of_round(&peers, round);
+        assert_eq!(asked.len(), 6);
+        assert_eq!(asked[..4], [&0, &1, &2, &3]);
+        seen.extend(asked);
+    }
+    assert!(peers.iter().all(|peer| seen.contains(peer)));
+    assert_eq!(peers_of_round(&peers[..3], 7), [&0, &1, &2]);
+    assert!(peers_of_round::<u32>(&[], 1).is_empty());
+}
+
+/// All VMs of a large zone return within half a second, and none of them gets an answer within its
+/// first rounds: the strongest becomes dispatcher, and the others learn of it before they would.
+#[test]
+fn decide_all_vms_of_a_large_zone_return_at_once() {
+    /// Length of a round and the pause after it.
+    const ROUND: u64 = 150;
+    /// Time after which all VMs know a new dispatcher.
+    const ANNOUNCEMENT: u64 = 100;
+    for seed in 0..50u64 {
+        let starts: Vec<u64> = (0..20).map(|n: u64| (n * 7_919 + seed * 104_729) % 350).collect();
+        let mut elected_at = None;
+        for now in 0..2_000u64 {
+            for (n, start) in starts.iter().enumerate() {
+                let Some(age) = now.checked_sub(*start).filter(|age| age % ROUND == 149) else {
+                    continue;
+                };
+                let round = Round {
+                    number: (age / ROUND) as u32 + 1,
+                    missing_for: ms(age),
+                    uptime: ms(age),
+                    known_peers: 19,
+                    stronger_peers: n,
+                    answers: Vec::new(),
+                    ..round()
+                };
+                if round.decide() == Decision::Wait {
+                    continue;
+                }
+                let first = *elected_at.get_or_insert(now);
+                assert!(now <= first + ANNOUNCEMENT, "seed {seed}: VM {n} at {now}, first {first}");
+            }
+            if elected_at.is_some_and(|at| now > at + ANNOUNCEMENT) {
+                break;
+            }
+        }
+        let elected_at = elected_at.unwrap();
+        assert!(elected_at <= 700, "seed {seed}: elected at {elected_at}");
+    }
+}
