Serve resumed jobs until their deadline

And the new dispatcher, which knew nothing of kinds of targets, took the slow kind for faulty and ejected a part of it in that very second.

Change: deferred jobs are shed by their deadline only, and are queued behind those in time as before. Slow runs count only after 100 runs on the target's kind.

Tests, which failed first: resumed_jobs_are_served_until_their_deadline, slow_kind_of_target_is_not_ejected_after_a_takeover (8 ejections).

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -202,10 +202,10 @@
                 expected,
             );
         }
+        job.deferred = origin == Origin::Deferred;
         let latest_end = match origin {
-            Origin::Caller => job.latest_end(),
+            Origin::Caller | Origin::Deferred => job.latest_end(),
             Origin::OtherZone => job.objective.min(job.deadline),
-            Origin::Deferred => job.deadline,
         };
         if end + ANSWER_LATENCY > latest_end {
             let delay = retry_after(end - job.objective);
@@ -238,6 +238,7 @@
             tasks: IndexMap::new(),
             waiting_tasks: VecDeque::new(),
             start_sent: false,
+            deferred: false,
             late: false,
             log_run_time_ratio: None,
             submission,
@@ -370,8 +371,7 @@
             let mut with_job = forecast.clone();
             let end = self.schedule_job(&mut with_job, rank.key, now);
             let Some(job) = self.jobs.get(&rank.key) else { continue };
-            let latest_end = if job.start_sent { job.deadline } else { job.latest_end() };
-            if end.is_some_and(|end| end + ANSWER_LATENCY <= latest_end) {
+            if end.is_some_and(|end| end + ANSWER_LATENCY <= job.latest_end()) {
                 forecast = with_job;
                 continue;
             }
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -74,6 +74,8 @@
     pub waiting_tasks: VecDeque<TaskId>,
     /// Whether a start of any task was sent, so that the job may have run and can't be refused.
     pub start_sent: bool,
+    /// Whether its admission was deferred, so that its caller has waited and it may have run.
+    pub deferred: bool,
     /// Whether it is queued behind all jobs that can still meet their objective.
     pub late: bool,
     /// Logarithm of [`Job::run_time_ratio`]; `None` before the first observation.
@@ -83,8 +85,11 @@
 impl Job {
     /// Returns the latest expected end at which the job is admitted or keeps waiting for its first
     /// start. A later one is refused, since the CPU that it takes would make the jobs behind it
-    /// late as well.
+    /// late as well. Jobs that may have run can't be refused, so only their deadline counts.
     pub fn latest_end(&self) -> Moment {
+        if self.start_sent || self.deferred {
+            return self.deadline;
+        }
         let span = (self.objective - self.arrived_at).mul_f64(MAX_OBJECTIVE_OVERRUN);
         (self.arrived_at + span).min(self.deadline)
     }
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -302,14 +302,15 @@
         let slowness = self.run_times.slowness(&target.info.kind)
             * target.slowness.min(*TYPICAL_SLOWNESS.end());
         let expected = self.run_times.expected_seconds(queue, declared) * slowness;
-        let is_queue_known = self.run_times.observations(queue) >= MIN_QUEUE_OBSERVATIONS;
+        let is_usual_known = self.run_times.observations(queue) >= MIN_QUEUE_OBSERVATIONS
+            && self.run_times.worker_observations(&target.info.kind) >= MIN_KIND_OBSERVATIONS;
         let ratio = duration.as_secs_f64() / expected.max(1e-3);
         let is_job_usual =
             job.min_run_time_ratio_of_others(task).is_some_and(|other| other < USUAL_RATIO);
         if let Some(task_state) = job.tasks.get_mut(&task) {
             task_state.run_time_ratio = Some(ratio);
         }
-        if ratio < SLOW_RUN_RATIO || !is_job_usual && !is_queue_known {
+        if ratio < SLOW_RUN_RATIO || !is_usual_known {
             return false;
         }
         self.log(LogEvent::SlowRun { task, target: target_id.clone(), ratio });
@@ -355,6 +356,8 @@
 const USUAL_RATIO: f64 = 1.6;
 /// Number of runs of a queue after which its run times are known well enough to recognize slow runs.
 const MIN_QUEUE_OBSERVATIONS: f64 = 30.0;
+/// Number of runs on a kind of target after which its slowness is known well enough for that.
+const MIN_KIND_OBSERVATIONS: u64 = 100;
 /// Range of the slowness of targets that their kind's estimate is learned from; others are
 /// outliers.
 const TYPICAL_SLOWNESS: RangeInclusive<f64> = 0.6..=1.7;
--- a/src/state/run_time.rs
+++ b/src/state/run_time.rs
@@ -74,6 +74,8 @@
     types: IndexMap<J, JobTypeModel>,
     /// Logarithms of the workers' slowness.
     workers: IndexMap<W, f64>,
+    /// Numbers of observed runs, by worker.
+    worker_observations: IndexMap<W, u64>,
     /// Weight of a new observation in a worker's slowness.
     worker_weight: f64,
 }
@@ -88,7 +90,12 @@
     /// Creates an estimator without observations. A new observation of a worker gets the weight
     /// `worker_weight`, above 0 and at most 1, in its slowness.
     pub fn with_worker_weight(worker_weight: f64) -> Self {
-        RunTimeEstimator { types: IndexMap::new(), workers: IndexMap::new(), worker_weight }
+        RunTimeEstimator {
+            types: IndexMap::new(),
+            workers: IndexMap::new(),
+            worker_observations: IndexMap::new(),
+            worker_weight,
+        }
     }
 }
 
@@ -127,6 +134,11 @@
         self.types.get(job_type).map_or(0.0, |model| model.observations)
     }
 
+    /// Number of observed runs on a worker.
+    pub fn worker_observations(&self, worker: &W) -> u64 {
+        self.worker_observations.get(worker).copied().unwrap_or_default()
+    }
+
     /// Records that a task ran on a worker for `seconds`.
     pub fn observe(&mut self, job_type: &J, declared_ms: Option<u64>, worker: &W, seconds: f64) {
         let predicted = ln_seconds(self.expected_seconds(job_type, declared_ms));
@@ -136,6 +148,7 @@
         let limit = OUTLIER_FACTOR.ln();
         let error = (ln_seconds(seconds) - predicted - ln_slowness).clamp(-limit, limit);
         self.workers.insert(worker.clone(), ln_slowness + self.worker_weight * error);
+        *self.worker_observations.entry(worker.clone()).or_default() += 1;
     }
 
     /// Records `run_time`, the logarithm of a run time converted to a worker of slowness 1.
@@ -168,5 +181,6 @@
         F: Fn(&W) -> bool,
     {
         self.workers.retain(|worker, _| keep(worker));
+        self.worker_observations.retain(|worker, _| keep(worker));
     }
 }
--- a/tests/dispatch/load.rs
+++ b/tests/dispatch/load.rs
@@ -2,7 +2,7 @@
 
 use crate::simulation::{Fault, LONG, Simulation, URGENT, ms, submission};
 use cranberrytray::{
-    coordination::dispatch::{SpareCpu, SubmissionKey},
+    coordination::dispatch::{LogEvent, SpareCpu, SubmissionKey},
     state::{
         fleet_config::Label,
         job_submission::{Outcome, Refusal, Step},
@@ -341,3 +341,41 @@
     let back = sim.submit_with(job, false, false);
     assert!(matches!(sim.outcome(back), Some(Outcome::NotRun { refusal: Refusal::NoTarget, .. })));
 }
+
+/// A dispatcher has just taken over: run times of the two kinds of targets, one five times slower
+/// than the other, are not known yet. No target may be ejected as slow, since the jobs that were
+/// resumed need all of them.
+#[test]
+fn slow_kind_of_target_is_not_ejected_after_a_takeover() {
+    let mut sim = Simulation::new(12).take_over();
+    for n in (0..12).step_by(3) {
+        sim.change_target(n, |info| {
+            info.kind = Label::from("b");
+            info.labels[0] = Label::from("b");
+        });
+        sim.target(n).speed = 0.2;
+    }
+    for id in 0..60 {
+        sim.submit(submission(id, URGENT, 6, ms(60)));
+        sim.run(ms(25));
+    }
+    let ejected = sim.log.iter().filter(|(_, e)| matches!(e, LogEvent::Ejected { .. })).count();
+    assert_eq!(ejected, 0);
+}
+
+/// A zone's dispatcher was lost: its jobs are resumed together once the leases have expired, more
+/// than fit at once. They are late, but all can end before their deadline, and none can be refused,
+/// so each is answered.
+#[test]
+fn resumed_jobs_are_served_until_their_deadline() {
+    let mut sim = Simulation::new(4);
+    sim.list_status.is_complete = false;
+    sim.publish_targets();
+    let resume =
+        |sim: &mut Simulation, id| sim.submit_with(submission(id, URGENT, 4, ms(60)), false, true);
+    let keys: Vec<SubmissionKey> = (0..12).map(|id| resume(&mut sim, id)).collect();
+    sim.run(ms(1_500));
+    for key in keys {
+        assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+    }
+}
