Hold elections only with the list of VMs read

Change: a VM that has not read the list of VMs, from the store or from a peer, waits as one without targets does.

Test: decide_vm_that_has_not_read_the_list_of_vms_waits.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -9,8 +9,8 @@
 /// A VM does not become dispatcher for this long after its start, so that it first finds a
 /// dispatcher that exists.
 const START_GRACE: Duration = Duration::from_millis(120);
-/// A VM that reaches no other one, or has no targets listed, becomes dispatcher only after its zone
-/// was without one for this long: it is probably cut off, and the other VMs have a dispatcher.
+/// A VM that reaches no other one, has no targets listed or has not read the list of VMs becomes
+/// dispatcher only after its zone was without one for this long: it is probably cut off, and the other VMs have a dispatcher.
 const ISOLATION_GRACE: Duration = Duration::from_millis(2_500);
 /// For each VM that comes before it by rank, a VM waits this much longer until it becomes
 /// dispatcher. When all VMs of a zone return at once, connections take longer than a round on the
@@ -79,6 +79,8 @@
     pub is_able: bool,
     /// Whether this VM knows targets of the zone.
     pub has_targets: bool,
+    /// Whether this VM has read the list of VMs, from the platform or from a peer.
+    pub knows_peers: bool,
     /// Number of other VMs that are known in the zone.
     pub known_peers: usize,
     /// Number of these that come before this VM by rank, without the dispatcher that was lost.
@@ -104,7 +106,8 @@
         let waits_out_isolation = self.missing_for < ISOLATION_GRACE;
         let stagger = STAGGER.saturating_mul(self.stronger_peers as u32).min(MAX_STAGGER);
         let is_early = self.missing_for < stagger || self.uptime < START_GRACE + stagger;
-        if !self.is_able || is_early || !self.has_targets && waits_out_isolation {
+        let is_informed = self.has_targets && self.knows_peers;
+        if !self.is_able || is_early || !is_informed && waits_out_isolation {
             return Decision::Wait;
         }
         let outranks = |answer: &Answer| !answer.leaving && answer.rank < self.rank;
--- a/src/fleet/election.rs
+++ b/src/fleet/election.rs
@@ -213,6 +213,7 @@
             uptime: self.started.elapsed(),
             is_able: self.config().is_some() && !self.is_leaving(),
             has_targets: !self.zone_targets().is_empty(),
+            knows_peers: self.knows_peers.get(),
             answers: heartbeats.map(answer).collect(),
         }
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -74,6 +74,8 @@
     clock: Clock,
     config: RefCell<Option<Arc<FleetConfig>>>,
     peers: RefCell<IndexMap<VmName, Peer>>,
+    /// Whether a list of VMs was read.
+    knows_peers: Cell<bool>,
     known_targets: RefCell<KnownTargets>,
     /// Signals that the list of targets should be read at once.
     targets_wanted: Notify,
@@ -123,6 +125,7 @@
             clock: Clock::new(),
             config: RefCell::default(),
             peers: RefCell::default(),
+            knows_peers: Cell::default(),
             known_targets: RefCell::default(),
             targets_wanted: Notify::new(),
             dispatcher_missing_since: Cell::new(Instant::now()),
@@ -176,6 +179,7 @@
 
     /// Adds VMs from the platform's list to the known peers, and updates those that were restarted.
     pub fn add_peers(&self, list: Vec<Peer>) {
+        self.knows_peers.set(true);
         for peer in list {
             self.add_peer(peer);
         }
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -22,6 +22,7 @@
         uptime: ms(60_000),
         is_able: true,
         has_targets: true,
+        knows_peers: true,
         known_peers: 2,
         stronger_peers: 0,
         answers: vec![Answer { rank: rank(90, "c"), leaving: false }],
@@ -108,6 +109,15 @@
     assert!(is_standby(&zone[0], Vec::new()));
 }
 
+/// Guards against a dozen dispatchers of one zone: weak VMs that return first and have not read the
+/// list of VMs believe that they are alone.
+#[test]
+fn decide_vm_that_has_not_read_the_list_of_vms_waits() {
+    let early = Round { knows_peers: false, known_peers: 0, answers: Vec::new(), ..round() };
+    assert_eq!(early.decide(), Decision::Wait);
+    assert_eq!(Round { missing_for: ms(2_600), ..early }.decide(), Decision::Become);
+}
+
 #[test]
 fn decide_weaker_vms_wait_longer() {
     let third = Round { stronger_peers: 2, answers: Vec::new(), known_peers: 0, ..round() };
