Let the stronger of two dispatchers stay that were elected together

Change: of two dispatchers whose epochs differ by at most half a second the one with the larger weight stays; it is young enough to raise its fencing token. Otherwise the later one stays, as before.

Test: yields_to_one_of_two_dispatchers.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -4,7 +4,7 @@
 //! each decides by [`Round::decide`] whether it becomes the dispatcher.
 
 use crate::state::id::VmName;
-use std::{cmp::Reverse, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 /// A VM does not become dispatcher for this long after its start, so that it first finds a
 /// dispatcher that exists.
@@ -31,6 +31,10 @@
 /// Number of other VMs that it connects to in a round.
 const OTHERS_PER_ROUND: usize = 2;
 
+/// Dispatchers whose epochs differ by at most this much, half a second, were elected at about the
+/// same time. The one that stays is young enough to raise its fencing token.
+const CONCURRENT_EPOCHS: u64 = 5;
+
 /// A zone that has been without a dispatcher for this long has VMs that can't elect one, since they
 /// are cut off or have no configuration. An election takes a third of it.
 const MAX_ELECTION_DURATION: Duration = Duration::from_millis(900);
@@ -140,6 +144,30 @@
     others.into_iter().filter(|other| other < rank).count() < STANDBY_VMS
 }
 
+/// A dispatcher of a zone that has two, as both see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rival {
+    /// Epoch in which the VM became dispatcher, in tenths of a second.
+    pub epoch: u64,
+    /// Weight of the VM.
+    pub weight: u32,
+    /// Address of the VM.
+    pub address: SocketAddr,
+}
+
+impl Rival {
+    /// Whether this dispatcher steps down for `other`. The later one stays, since it was elected
+    /// because the earlier one was not reached; of two that were elected at about the same time, the
+    /// one with the larger weight stays.
+    pub fn yields_to(&self, other: &Rival) -> bool {
+        if self.epoch.abs_diff(other.epoch) <= CONCURRENT_EPOCHS {
+            (self.weight, self.epoch, self.address) < (other.weight, other.epoch, other.address)
+        } else {
+            self.epoch < other.epoch
+        }
+    }
+}
+
 /// Whether a job should wait for the election of its zone's dispatcher: the election is probably in
 /// progress, and the job can still be run after it. `missing_for` is the time for which the zone
 /// has been without a dispatcher, `waited` the time since the job was submitted.
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -3,9 +3,12 @@
 
 use super::{Node, TargetClient};
 use crate::{
-    coordination::dispatch::{
-        Action, Dispatcher, RunRequest, SubmissionKey, ownership::TargetListStatus,
-        replies::LeaseRenewalError,
+    coordination::{
+        dispatch::{
+            Action, Dispatcher, RunRequest, SubmissionKey, ownership::TargetListStatus,
+            replies::LeaseRenewalError,
+        },
+        election::Rival,
     },
     protocol::fleet::{DispatchReply, Heartbeat},
     state::{
@@ -156,17 +159,21 @@
         }
     }
 
-    /// Handles a heartbeat of another dispatcher of this zone. This VM steps down if the other has
-    /// the higher epoch; between equal epochs, processor share and address decide.
+    /// Handles a heartbeat of another dispatcher of this zone: one of both steps down.
     pub(super) fn resolve_rival(self: &Rc<Self>, heartbeat: &Heartbeat) {
-        let dispatcher = self.dispatcher.borrow();
-        let active = dispatcher.as_ref().filter(|d| d.successor.is_none());
-        let own = active.map(|d| (d.epoch, self.me.weight, self.me.address));
-        drop(dispatcher);
-        if own.is_some_and(|own| {
-            own < (heartbeat.epoch, heartbeat.from.weight, heartbeat.from.address)
-        }) {
-            self.step_down("another dispatcher has a higher epoch");
+        let other = Rival {
+            epoch: heartbeat.epoch,
+            weight: heartbeat.from.weight,
+            address: heartbeat.from.address,
+        };
+        let own = match &*self.dispatcher.borrow() {
+            Some(d) if d.successor.is_none() => {
+                Rival { epoch: d.epoch, weight: self.me.weight, address: self.me.address }
+            }
+            _ => return,
+        };
+        if own.yields_to(&other) {
+            self.step_down("another dispatcher of the zone stays");
         }
     }
 
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -1,7 +1,7 @@
 //! Rules of the election of a zone's dispatcher, and which jobs wait for it.
 
 use cranberrytray::coordination::election::{
-    Answer, Decision, Rank, Round, is_standby, peers_of_round, should_await_dispatcher,
+    Answer, Decision, Rank, Rival, Round, is_standby, peers_of_round, should_await_dispatcher,
 };
 use std::time::Duration;
 
@@ -182,3 +182,19 @@
         assert!(elected_at <= 700, "seed {seed}: elected at {elected_at}");
     }
 }
+
+#[test]
+fn yields_to_one_of_two_dispatchers() {
+    let rival =
+        |epoch, weight, port| Rival { epoch, weight, address: ([10, 0, 0, 1], port).into() };
+    let cases = [
+        ("later", rival(100, 500, 1), rival(120, 90, 2)),
+        ("stronger, elected at about the same time", rival(103, 90, 1), rival(100, 500, 2)),
+        ("later, equally strong", rival(100, 500, 2), rival(101, 500, 1)),
+        ("equal but for the address", rival(100, 500, 1), rival(100, 500, 2)),
+    ];
+    for (name, loser, winner) in cases {
+        assert!(loser.yields_to(&winner), "{name}");
+        assert!(!winner.yields_to(&loser), "{name}");
+    }
+}
