--- /dev/null
+++ b/tests/dispatch/fake_target.rs
@@ -0,0 +1,172 @@
+//! Test double of a target, which follows the platform's contract.
+
+use crate::simulation::ms;
+use cranberrytray::state::{
+    job_submission::{RunNumber, TaskId},
+    target::{
+        EndedRun, FencingToken, RunOutcome, RunningRun, TargetIncarnation, TargetReport, TargetTime,
+    },
+    time::Moment,
+};
+use indexmap::IndexMap;
+use std::time::Duration;
+
+/// Fault injected into a fake target or its connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Fault {
+    /// Every request is executed and answered.
+    #[default]
+    None,
+    /// New runs never end and report no progress.
+    HangsRuns,
+    /// New runs fail after 1 ms.
+    FailsRuns,
+    /// Start requests are executed, but their replies are lost.
+    LosesStartReplies,
+    /// Stop requests are lost.
+    LosesStopRequests,
+    /// The first start request of each task is lost.
+    LosesFirstStartRequests,
+    /// Start requests are executed; the first reply is lost, and the second request can't be sent.
+    UnreachableAfterStart,
+    /// Every twelfth reply to a lease renewal is lost.
+    LosesRenewalReplies,
+    /// All requests are lost, but existing runs go on.
+    Unresponsive,
+}
+
+/// A run on a fake target.
+#[derive(Clone, Debug)]
+pub struct FakeRun {
+    pub number: RunNumber,
+    pub started_at: Moment,
+    pub duration: Duration,
+    pub ends_at: Option<Moment>,
+    pub outcome: RunOutcome,
+    pub cpu: u64,
+}
+
+/// Test double of a target.
+#[derive(Debug)]
+pub struct FakeTarget {
+    pub fault: Fault,
+    /// Relative speed of new runs; 1 is usual.
+    pub speed: f64,
+    pub fencing_token: FencingToken,
+    pub runs: IndexMap<TaskId, FakeRun>,
+    pub ended: Vec<EndedRun>,
+    end_count: u64,
+    pub lease_end: Moment,
+    pub reported_end: u64,
+    pub starts: Vec<(TaskId, Moment)>,
+    pub next_renewal: Moment,
+    /// Moment at which the lease renewal whose reply was lost times out.
+    pub lost_renewal_end: Option<Moment>,
+    pub renewal_count: u64,
+    pub lost_starts: Vec<TaskId>,
+    pub is_watched: bool,
+    incarnation: TargetIncarnation,
+    /// Time at which the target's clock shows zero.
+    clock_start: Moment,
+}
+
+impl Default for FakeTarget {
+    fn default() -> Self {
+        FakeTarget {
+            fault: Fault::None,
+            speed: 1.0,
+            fencing_token: FencingToken::default(),
+            runs: IndexMap::new(),
+            ended: Vec::new(),
+            end_count: 0,
+            lease_end: Moment::ZERO,
+            reported_end: 0,
+            starts: Vec::new(),
+            next_renewal: Moment::ZERO,
+            lost_renewal_end: None,
+            renewal_count: 0,
+            lost_starts: Vec::new(),
+            is_watched: false,
+            incarnation: TargetIncarnation(1),
+            clock_start: Moment::ZERO,
+        }
+    }
+}
+
+impl FakeTarget {
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Restarts the target under the same name: it knows nothing of before, and its clock and the
+    /// numbers of its ended runs begin anew.
+    pub fn restart(&mut self, now: Moment) {
+        *self = FakeTarget {
+            speed: self.speed,
+            incarnation: TargetIncarnation(self.incarnation.0 + 1),
+            clock_start: now,
+            is_watched: self.is_watched,
+            next_renewal: self.next_renewal,
+            starts: std::mem::take(&mut self.starts),
+            ..FakeTarget::default()
+        };
+    }
+
+    pub fn clock(&self, now: Moment) -> TargetTime {
+        TargetTime((now - self.clock_start).as_millis() as u64)
+    }
+
+    /// Extends the lease of all runs to `end` on the target's clock, or as far as it is allowed.
+    pub fn extend_lease(&mut self, end: TargetTime, max_lease: Duration, now: Moment) {
+        let end = (self.clock_start + ms(end.0)).min(now + max_lease);
+        self.lease_end = self.lease_end.max(end);
+    }
+
+    /// Adds a run that an earlier dispatcher started.
+    pub fn add_earlier_run(&mut self, task: TaskId, duration: Duration, now: Moment) {
+        let ends_at = Some(now + duration);
+        let outcome = RunOutcome::Done;
+        let run = FakeRun {
+            number: RunNumber(1),
+            started_at: now,
+            duration,
+            ends_at,
+            outcome,
+            cpu: 14_000,
+        };
+        self.runs.insert(task, run);
+        self.lease_end = now + ms(900);
+    }
+
+    pub fn advance(&mut self, now: Moment) {
+        let is_expired = self.lease_end <= now;
+        let ended: Vec<TaskId> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| is_expired || run.ends_at.is_some_and(|end| end <= now))
+            .map(|(task, _)| *task)
+            .collect();
+        for task in ended {
+            let run = self.runs.swap_remove(&task).unwrap();
+            self.end_count += 1;
+            let done = run.ends_at.is_some_and(|end| end <= now);
+            let outcome = if done { run.outcome } else { RunOutcome::Lost };
+            self.ended.push(EndedRun { sequence: self.end_count, task, run: run.number, outcome });
+        }
+    }
+
+    pub fn report(&self, now: Moment) -> TargetReport {
+        let running = self.runs.iter().filter(|(_, run)| run.outcome != RunOutcome::Stopped);
+        let running = running.map(|(task, run)| {
+            let progress = (now - run.started_at).as_secs_f64() / run.duration.as_secs_f64();
+            let percent = if run.ends_at.is_some() { (progress * 100.0) as u32 } else { 0 };
+            RunningRun { task: *task, run: run.number, progress_percent: percent }
+        });
+        TargetReport {
+            clock: self.clock(now),
+            incarnation: Some(self.incarnation),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
