--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -1,8 +1,8 @@
 //! Admission control: which jobs are admitted, redirected to another zone, or refused at once.
 
 use super::{
-    Action, DeferredSubmission, Dispatcher, LogEvent, MAX_OPEN_JOBS, Rank, RemoteZone, SpareCpu,
-    SubmissionKey, job::Job,
+    Action, DeferredSubmission, Dispatcher, JobLabel, LogEvent, MAX_OPEN_JOBS, Rank, RemoteZone,
+    SpareCpu, SubmissionKey, job::Job,
 };
 use crate::state::{
     fleet_config::Queue,
@@ -10,6 +10,7 @@
     job_submission::{
         CallerJobId, JobSubmission, Outcome, Refusal, Step, chain_durations, validate_steps,
     },
+    mechanism::Mechanism,
     target::Target,
     time::Moment,
 };
@@ -80,6 +81,10 @@
             || resumed && !self.has_no_earlier_runs(now)
             || self.awaits_first_list(now)
         {
+            if !self.enables(Mechanism::Deferral) {
+                self.answer(&[key], submission.id, Outcome::Unknown);
+                return key;
+            }
             let keys = vec![key];
             self.deferred.push(DeferredSubmission { keys, submission, arrived_at: now, resumed });
         } else {
@@ -207,12 +212,13 @@
             Origin::Caller | Origin::Deferred => job.latest_end(),
             Origin::OtherZone => job.objective.min(job.deadline),
         };
-        if end + ANSWER_LATENCY > latest_end {
+        if end + ANSWER_LATENCY > latest_end && self.enables(Mechanism::AdmissionForecast) {
             let delay = retry_after(end - job.objective);
             return self.refuse(&keys, &job.submission, Refusal::TooLate, delay, expected);
         }
         self.counts.admitted += 1;
-        self.log(LogEvent::Admitted { id, queue: queue.name, expected, ahead });
+        let label = JobLabel::from(&job.submission);
+        self.log(LogEvent::Admitted { job: label, expected, ahead });
         self.keys_by_job_id.insert(id, key);
         job.submissions = keys;
         self.jobs.insert(key, job);
@@ -265,8 +271,12 @@
     /// here.
     fn choose_remote_zone(&self, job: &Job, late: bool, cpu: u64, now: Moment) -> Option<ZoneName> {
         let spare = self.spare_cpu(now);
-        let lacks_fast = job.has_hard_deadline() && spare.fast_millicores < cpu;
-        let would_wait = !job.has_hard_deadline() && spare.total_millicores < cpu;
+        let lacks_fast = self.enables(Mechanism::FastRedirect)
+            && job.has_hard_deadline()
+            && spare.fast_millicores < cpu;
+        let would_wait = self.enables(Mechanism::WaitingRedirect)
+            && !job.has_hard_deadline()
+            && spare.total_millicores < cpu;
         let min_fast = cpu.min(spare.fast_millicores + cpu / FAST_MARGIN_DIVISOR);
         let zone_with_fast = || self.best_remote_zone(min_fast, now, |spare| spare.fast_millicores);
         let zone_with_ample = || {
@@ -279,6 +289,7 @@
         };
         let zone = if lacks_fast { zone_with_fast() } else { None };
         let zone = zone.or_else(|| if would_wait { zone_with_ample() } else { None });
+        let late = late && self.enables(Mechanism::LateRedirect);
         zone.or_else(|| if late { zone_with_some() } else { None })
     }
 
@@ -314,17 +325,11 @@
         self.actions.push(Action::Redirect { key, zone, to });
     }
 
-    fn log_refusal(
-        &mut self,
-        id: CallerJobId,
-        refusal: Refusal,
-        expected: Duration,
-        age: Duration,
-    ) {
+    fn log_refusal(&mut self, job: JobLabel, refusal: Refusal, expected: Duration, age: Duration) {
         let waiting = self.queued_jobs.len();
         let now = self.last_call_at;
         let usable = self.targets.values().filter(|t| self.is_usable(t, now)).count();
-        self.log(LogEvent::Refused { id, refusal, expected, age, waiting, usable });
+        self.log(LogEvent::Refused { job, refusal, expected, age, waiting, usable });
     }
 
     fn refuse(
@@ -336,7 +341,7 @@
         expected: Duration,
     ) {
         self.counts.refused += 1;
-        self.log_refusal(submission.id, refusal, expected, Duration::ZERO);
+        self.log_refusal(submission.into(), refusal, expected, Duration::ZERO);
         let outcome = Outcome::NotRun { refusal, retry_after };
         self.answer(keys, submission.id, outcome);
     }
@@ -363,7 +368,7 @@
     /// Sheds waiting jobs that are not expected to end in time: refuses those of which no start was
     /// sent, and abandons the others.
     pub(super) fn shed_late_jobs(&mut self, now: Moment) {
-        if self.queued_jobs.is_empty() {
+        if self.queued_jobs.is_empty() || !self.enables(Mechanism::Shedding) {
             return;
         }
         let mut forecast = self.forecast(now);
@@ -383,8 +388,8 @@
             }
             let retry_after = retry_after(expected);
             let refusal = Refusal::TooLate;
-            let (id, age) = (job.submission.id, now - job.arrived_at);
-            self.log_refusal(id, refusal, expected, age);
+            let (label, age) = (JobLabel::from(&job.submission), now - job.arrived_at);
+            self.log_refusal(label, refusal, expected, age);
             self.finish_job(rank.key, Outcome::NotRun { refusal, retry_after });
         }
     }
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -1,11 +1,12 @@
 //! An admitted job and the state of its tasks.
 
-use super::{Dispatcher, LogEvent, Rank, SubmissionKey};
+use super::{Dispatcher, JobLabel, LogEvent, Rank, SubmissionKey};
 use crate::{
     coordination::dispatch::Action,
     state::{
         fleet_config::Priority,
         job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, RunNumber, Step, TaskId},
+        mechanism::Mechanism,
         target::TargetId,
         time::Moment,
     },
@@ -208,6 +209,9 @@
     /// Moves jobs that have missed their latency objective, and have many waiting tasks, behind all
     /// others.
     pub(super) fn demote_late(&mut self, now: Moment) {
+        if !self.enables(Mechanism::LateJobsLast) {
+            return;
+        }
         let waiting = self.queued_jobs.iter().filter(|rank| !rank.late);
         let late = waiting.filter(|rank| {
             self.jobs
@@ -244,6 +248,15 @@
         let Some(rank) = self.rank(key) else { return };
         self.queued_jobs.remove(&rank);
         let Some(job) = self.jobs.swap_remove(&key) else { return };
+        let now = self.last_call_at;
+        if outcome == Outcome::Completed && now > job.objective {
+            self.log(LogEvent::CompletedLate {
+                job: JobLabel::from(&job.submission),
+                age: now - job.arrived_at,
+                late_by: now - job.objective,
+                scale: job.run_time_ratio(),
+            });
+        }
         let id = job.submission.id;
         self.keys_by_job_id.swap_remove(&id);
         match outcome {
@@ -269,7 +282,7 @@
     /// Ends a job early: as not run if no start of it was sent, else with an unknown outcome.
     pub(super) fn abandon_job(&mut self, key: SubmissionKey, reason: &'static str) {
         let Some(job) = self.jobs.get(&key) else { return };
-        let id = job.submission.id;
+        let label = JobLabel::from(&job.submission);
         let outcome = if job.start_sent {
             Outcome::Unknown
         } else {
@@ -279,7 +292,7 @@
         let waiting = job.waiting_tasks.len();
         let running = job.tasks.values().filter(|t| t.target.is_some()).count();
         let scale = job.run_time_ratio();
-        self.log(LogEvent::Abandoned { id, reason, age, waiting, running, scale });
+        self.log(LogEvent::Abandoned { job: label, reason, age, waiting, running, scale });
         self.finish_job(key, outcome);
     }
 }
--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -4,20 +4,45 @@
 use crate::state::{
     fleet_config::QueueName,
     id::ZoneName,
-    job_submission::{CallerJobId, Refusal, RunNumber, TaskId},
+    job_submission::{CallerJobId, JobSubmission, Refusal, RunNumber, Step, TaskId},
     target::TargetId,
 };
+use derive_more::Display;
 use std::time::Duration;
 
+/// A job as log lines name it.
+#[derive(Clone, Debug, Display, PartialEq)]
+#[display("{id} of {queue} ({tasks} tasks, {work:?})")]
+pub struct JobLabel {
+    /// Job id chosen by the caller.
+    pub id: CallerJobId,
+    /// Queue that the job belongs to.
+    pub queue: QueueName,
+    /// Number of its tasks.
+    pub tasks: u32,
+    /// Declared run time of all its tasks together.
+    pub work: Duration,
+}
+
+impl From<&JobSubmission> for JobLabel {
+    fn from(submission: &JobSubmission) -> Self {
+        let work = |step: &Step| step.declared.unwrap_or_default() * step.count;
+        JobLabel {
+            id: submission.id,
+            queue: submission.queue.clone(),
+            tasks: submission.steps.iter().map(|step| step.count).sum(),
+            work: submission.steps.iter().map(work).sum(),
+        }
+    }
+}
+
 /// A decision or a change of state, written to the log by the driver.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
     /// A job was admitted.
     Admitted {
-        /// Job id chosen by the caller.
-        id: CallerJobId,
-        /// Queue that the job belongs to.
-        queue: QueueName,
+        /// The job.
+        job: JobLabel,
         /// Expected time until the job ends.
         expected: Duration,
         /// Number of jobs queued before it.
@@ -25,8 +50,8 @@
     },
     /// A job was refused.
     Refused {
-        /// Job id chosen by the caller.
-        id: CallerJobId,
+        /// The job.
+        job: JobLabel,
         /// Reason of the refusal.
         refusal: Refusal,
         /// Expected time until the job would have ended; zero if there is no forecast.
@@ -92,8 +117,8 @@
     },
     /// A job was abandoned.
     Abandoned {
-        /// Job id chosen by the caller.
-        id: CallerJobId,
+        /// The job.
+        job: JobLabel,
         /// Why the job was abandoned.
         reason: &'static str,
         /// Time since the job was submitted.
@@ -105,6 +130,17 @@
         /// Run time of its tasks relative to what was expected.
         scale: f64,
     },
+    /// A job was completed after its latency objective.
+    CompletedLate {
+        /// The job.
+        job: JobLabel,
+        /// Time since the job was submitted.
+        age: Duration,
+        /// Time since the latency objective.
+        late_by: Duration,
+        /// Run time of its tasks relative to what was expected.
+        scale: f64,
+    },
     /// A target was ejected as an outlier: no task is started there for a while.
     Ejected {
         /// Target that was ejected.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -23,6 +23,7 @@
     fleet_config::{FleetConfig, Label, QueueName},
     id::ZoneName,
     job_submission::{CallerJobId, JobSubmission, Outcome, RunNumber, TaskId},
+    mechanism::{Mechanism, MechanismSet},
     rtt::RttEstimator,
     run_time::RunTimeEstimator,
     target::{FencingToken, Target, TargetId, TargetTime},
@@ -31,7 +32,7 @@
 use derive_more::{Add, Display};
 use indexmap::{IndexMap, IndexSet};
 use job::Job;
-pub use log_event::LogEvent;
+pub use log_event::{JobLabel, LogEvent};
 use ownership::TargetListStatus;
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 use timing::Timing;
@@ -186,6 +187,8 @@
     fencing_token: FencingToken,
     config: Arc<FleetConfig>,
     timing: Timing,
+    /// Mechanisms that are switched off.
+    disabled: MechanismSet,
     targets: IndexMap<TargetId, Target>,
     jobs: IndexMap<SubmissionKey, Job>,
     keys_by_job_id: IndexMap<CallerJobId, SubmissionKey>,
@@ -229,6 +232,7 @@
             fencing_token,
             config,
             timing,
+            disabled: MechanismSet::default(),
             targets: IndexMap::new(),
             jobs: IndexMap::new(),
             keys_by_job_id: IndexMap::new(),
@@ -252,6 +256,15 @@
         }
     }
 
+    /// Switches mechanisms off, which is meant for experiments.
+    pub fn disable(&mut self, mechanisms: MechanismSet) {
+        self.disabled = mechanisms;
+    }
+
+    fn enables(&self, mechanism: Mechanism) -> bool {
+        !self.disabled.contains(mechanism)
+    }
+
     /// Fencing token sent with every request to a target.
     pub fn fencing_token(&self) -> FencingToken {
         self.fencing_token
@@ -319,7 +332,17 @@
 
     /// Run time of tasks on a target relative to a usual one, from its kind and its own runs.
     fn target_slowness(&self, target: &Target) -> f64 {
-        self.run_times.slowness(&target.info.kind) * target.slowness
+        self.kind_slowness(&target.info.kind) * target.slowness
+    }
+
+    fn kind_slowness(&self, kind: &Label) -> f64 {
+        if self.enables(Mechanism::KindSlowness) { self.run_times.slowness(kind) } else { 1.0 }
+    }
+
+    /// Declared run time in milliseconds, from which the actual one is predicted.
+    fn declared_ms(&self, declared: Option<Duration>) -> Option<u64> {
+        let declared = declared.filter(|_| self.enables(Mechanism::DeclaredRunTimes));
+        declared.map(|declared| declared.as_millis() as u64)
     }
 
     /// Returns the actions decided since the last call.
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -2,6 +2,7 @@
 
 use super::{Action, Dispatcher, LogEvent, replies::MIN_PROGRESS_PERCENT};
 use crate::state::{
+    mechanism::Mechanism,
     target::{
         FencingToken, OutlierState, RunOutcome, RunState, Target, TargetId, TargetIncarnation,
         TargetInfo, TargetTime,
@@ -137,7 +138,9 @@
     pub fn next_lease_renewal(&mut self, id: &TargetId, now: Moment) -> Option<LeaseRenewal> {
         self.check_suspension(now);
         let fencing_token = self.fencing_token;
-        let is_lossy = self.renewal_loss_rate > HIGH_LOSS_RATE;
+        let is_lossy =
+            self.renewal_loss_rate > HIGH_LOSS_RATE && self.enables(Mechanism::ShortRenewals);
+        let requests_progress = self.enables(Mechanism::EarlyProgress);
         let timeout = self.rtt.timeout() + RENEWAL_TIMEOUT_MARGIN;
         let renewal_wait = self.timing.renewal_wait;
         let target = self.targets.get_mut(id)?;
@@ -145,7 +148,9 @@
             if target.taken_over { self.timing.extend_lease(target, now) } else { None };
         let stopping = target.runs.values().any(|r| matches!(r.state, RunState::Stopping { .. }));
         let progress_unknown = target.runs.values().any(|r| {
-            r.expected_duration > LONG_RUN_THRESHOLD && r.progress_percent < MIN_PROGRESS_PERCENT
+            requests_progress
+                && r.expected_duration > LONG_RUN_THRESHOLD
+                && r.progress_percent < MIN_PROGRESS_PERCENT
         });
         let wait = match (target.taken_over, stopping) {
             _ if target.missed_answers > 0 => Duration::ZERO,
@@ -224,7 +229,8 @@
     /// Counts a fault of a target; [`EJECTION_FAULTS`] in a row eject it.
     pub(super) fn record_fault(&mut self, id: &TargetId, now: Moment) {
         let ejected = self.targets.values().filter(|t| t.outlier.ejected_until > now).count();
-        let may_eject = ejected * 100 < self.targets.len() * MAX_EJECTED_PERCENT;
+        let may_eject = ejected * 100 < self.targets.len() * MAX_EJECTED_PERCENT
+            && self.enables(Mechanism::OutlierEjection);
         let Some(target) = self.targets.get_mut(id) else { return };
         let outlier = &mut target.outlier;
         outlier.recent_faults += 1;
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -4,6 +4,7 @@
 use crate::state::{
     fleet_config::QueueName,
     job_submission::{Step, TaskId},
+    mechanism::Mechanism,
     target::{Run, RunState, Target, TargetId},
     time::Moment,
 };
@@ -45,14 +46,14 @@
             |c: &Self| (!c.in_time, if c.in_time { -run_time(c) } else { run_time(c) }, c.cpu_left);
         sort_key(self).cmp(&sort_key(other))
     }
-}
 
-impl Job {
-    /// Factor applied to expected run times when checking whether a task meets the objective.
-    fn safety_factor(&self) -> f64 {
-        if self.has_hard_deadline() { DEADLINE_SAFETY } else { OBJECTIVE_SAFETY }
+    /// Orders the fastest candidate first.
+    fn compare_run_time(&self, other: &Self) -> Ordering {
+        (self.run_time, self.cpu_left).cmp(&(other.run_time, other.cpu_left))
     }
+}
 
+impl Job {
     /// Whether the objective is the deadline or close to it, so that a late answer is worth
     /// nothing.
     pub(super) fn has_hard_deadline(&self) -> bool {
@@ -61,6 +62,17 @@
 }
 
 impl Dispatcher {
+    /// Factor applied to expected run times when checking whether a task meets the objective.
+    fn safety_factor(&self, job: &Job) -> f64 {
+        if job.has_hard_deadline() && self.enables(Mechanism::DeadlineSafety) {
+            DEADLINE_SAFETY
+        } else if self.enables(Mechanism::ObjectiveSafety) {
+            OBJECTIVE_SAFETY
+        } else {
+            1.0
+        }
+    }
+
     /// Starts waiting tasks, those of the most urgent job first, while targets have free resources.
     pub(super) fn start_waiting_tasks(&mut self, now: Moment) {
         if self.queued_jobs.is_empty() || !self.is_active {
@@ -126,6 +138,7 @@
                     .most_per_target
                     .is_none_or(|most| job.running_on(task.step, &t.info.id) < most)
         };
+        let safety_factor = self.safety_factor(job);
         let candidates = self.targets.values().filter(fits).filter_map(|t| {
             let mut run_time = self
                 .expected_run_time(&job.submission.queue, step, t)
@@ -136,16 +149,22 @@
             if now + run_time + chain_after > job.deadline {
                 return None;
             }
-            let in_time =
-                now + (run_time + chain_after).mul_f64(job.safety_factor()) <= job.objective;
+            let in_time = now + (run_time + chain_after).mul_f64(safety_factor) <= job.objective;
             let cpu_left = t.free_resources().saturating_sub(step.needs).cpu.0;
             Some(Candidate { id: t.info.id.clone(), run_time, in_time, cpu_left })
         });
-        let best = candidates.min_by(Candidate::compare)?;
+        let compare = if self.enables(Mechanism::SlowestInTime) {
+            Candidate::compare
+        } else {
+            Candidate::compare_run_time
+        };
+        let best = candidates.min_by(compare)?;
         let should_wait = !best.in_time
             && job.has_hard_deadline()
-            && (self.can_wait_for_fast_target(key, step, now)
-                || self.ends_sooner_on_busy_target(key, step, &best, now));
+            && (self.enables(Mechanism::FastTargetWait)
+                && self.can_wait_for_fast_target(key, step, now)
+                || self.enables(Mechanism::BusyTargetWait)
+                    && self.ends_sooner_on_busy_target(key, step, &best, now));
         (!should_wait).then_some(best)
     }
 
@@ -229,7 +248,7 @@
 
     /// Expected run time of a task on a target of usual speed.
     pub(super) fn base_run_time(&self, queue: &QueueName, step: &Step) -> Duration {
-        let declared = step.declared.map(|d| d.as_millis() as u64);
+        let declared = self.declared_ms(step.declared);
         Duration::from_secs_f64(self.run_times.expected_seconds(queue, declared))
     }
 
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -3,6 +3,7 @@
 use super::{Action, Dispatcher, LogEvent, SubmissionKey};
 use crate::state::{
     job_submission::{RunNumber, TaskId},
+    mechanism::Mechanism,
     target::{ClockReading, RunOutcome, RunState, TargetId, TargetReport, TargetTime},
     time::Moment,
 };
@@ -134,10 +135,12 @@
     /// later. Since a repeated start has no further effect there, the request is sent again once;
     /// if that has no answer either, the run is stopped.
     fn on_unanswered_start(&mut self, id: &TargetId, task: TaskId, now: Moment) {
+        let repeats_starts = self.enables(Mechanism::RepeatedStarts);
         let Some(target) = self.targets.get_mut(id) else { return };
         let is_unresponsive = target.unresponsive_since.is_some();
         let Some(run) = target.runs.get_mut(&task) else { return };
-        let may_resend = run.start_attempts < MAX_START_ATTEMPTS
+        let may_resend = repeats_starts
+            && run.start_attempts < MAX_START_ATTEMPTS
             && run.state == RunState::Starting
             && !is_unresponsive;
         let job = run.job.and_then(|key| self.jobs.get(&SubmissionKey(key)));
@@ -318,6 +321,7 @@
 
     /// Updates the expected ends of runs from their reported progress.
     fn update_progress(&mut self, id: &TargetId, report: &TargetReport, now: Moment) {
+        let learns_run_times = self.enables(Mechanism::JobRunTimes);
         let Some(target) = self.targets.get_mut(id) else { return };
         let mut projections = Vec::new();
         for running in &report.running {
@@ -340,7 +344,7 @@
         }
         for (key, task, duration, run) in projections {
             let expected = run.expected_duration.as_secs_f64().max(1e-3);
-            if let Some(job) = self.jobs.get_mut(&key) {
+            if learns_run_times && let Some(job) = self.jobs.get_mut(&key) {
                 job.learn_run_time_ratio(duration.as_secs_f64() / expected);
             }
             if self.check_target_speed(key, task, id, &run, duration, now)
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -6,6 +6,7 @@
 };
 use crate::state::{
     job_submission::{Outcome, RunNumber, TaskId},
+    mechanism::Mechanism,
     target::{Run, RunOutcome, RunState, TargetId},
     time::Moment,
 };
@@ -70,7 +71,8 @@
                         stopped.push((key(), run.number));
                     }
                     RunState::Running { since }
-                        if now - target.last_report_at <= MAX_REPORT_AGE =>
+                        if now - target.last_report_at <= MAX_REPORT_AGE
+                            && self.enables(Mechanism::StragglerRestart) =>
                     {
                         let limit =
                             run.expected_duration.mul_f64(STRAGGLER_FACTOR) + STRAGGLER_SLACK;
@@ -104,6 +106,11 @@
     /// Returns the runs whose progress shows that they will end after their job's deadline.
     fn runs_past_deadline(&self, now: Moment) -> Vec<(SubmissionKey, TaskId, TargetId)> {
         let mut late_runs = Vec::new();
+        let is_checked =
+            self.enables(Mechanism::LateRunRestart) || self.enables(Mechanism::LateRunAbandonment);
+        if !is_checked {
+            return late_runs;
+        }
         for target in self.targets.values() {
             for (task, run) in &target.runs {
                 let Some(key) = run.job.map(SubmissionKey) else { continue };
@@ -135,12 +142,16 @@
     ) {
         let Some(job) = self.jobs.get(&key) else { return };
         let Some(step) = job.step(task).cloned() else { return };
-        let may_restart = job.tasks.get(&task).is_some_and(|t| !t.restarted);
+        let may_restart = self.enables(Mechanism::LateRunRestart)
+            && job.tasks.get(&task).is_some_and(|t| !t.restarted);
         let fastest = self.min_run_time(key, &step, now);
         let in_time =
             fastest.is_some_and(|time| now + self.timing.restart_delay + time <= job.deadline);
         if !may_restart || !in_time {
-            self.abandon_job(key, "the progress of a run shows that the deadline can't be met");
+            if self.enables(Mechanism::LateRunAbandonment) {
+                let reason = "the progress of a run shows that the deadline can't be met";
+                self.abandon_job(key, reason);
+            }
             return;
         }
         let after = self
@@ -233,6 +244,7 @@
         run: &Run,
         now: Moment,
     ) {
+        let learns_run_times = self.enables(Mechanism::JobRunTimes);
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let Some(task_state) = job.tasks.get_mut(&task) else { return };
         task_state.target = None;
@@ -240,7 +252,7 @@
             task_state.done = true;
             let ratio = (now - run.start_sent_at).as_secs_f64()
                 / run.expected_duration.as_secs_f64().max(1e-3);
-            if run.progress_percent < MIN_PROGRESS_PERCENT {
+            if learns_run_times && run.progress_percent < MIN_PROGRESS_PERCENT {
                 job.learn_run_time_ratio(ratio);
             }
             job.enqueue_ready_steps();
@@ -291,22 +303,23 @@
         now: Moment,
     ) -> bool {
         let is_lossy = self.renewal_loss_rate > HIGH_LOSS_RATE;
-        if run.start_attempts > 1 || is_lossy {
+        if run.start_attempts > 1 || is_lossy || !self.enables(Mechanism::SlowRunFaults) {
             return false; // Neither the start nor the end of the run is known well.
         }
-        let Some(job) = self.jobs.get_mut(&key) else { return false };
+        let Some(job) = self.jobs.get(&key) else { return false };
         let Some(step) = job.step(task) else { return false };
         let Some(target) = self.targets.get(target_id) else { return false };
         let queue = &job.submission.queue;
-        let declared = step.declared.map(|d| d.as_millis() as u64);
-        let slowness = self.run_times.slowness(&target.info.kind)
-            * target.slowness.min(*TYPICAL_SLOWNESS.end());
+        let declared = self.declared_ms(step.declared);
+        let slowness =
+            self.kind_slowness(&target.info.kind) * target.slowness.min(*TYPICAL_SLOWNESS.end());
         let expected = self.run_times.expected_seconds(queue, declared) * slowness;
         let is_usual_known = self.run_times.observations(queue) >= MIN_QUEUE_OBSERVATIONS
             && self.run_times.worker_observations(&target.info.kind) >= MIN_KIND_OBSERVATIONS;
         let ratio = duration.as_secs_f64() / expected.max(1e-3);
         let is_job_usual =
             job.min_run_time_ratio_of_others(task).is_some_and(|other| other < USUAL_RATIO);
+        let Some(job) = self.jobs.get_mut(&key) else { return false };
         if let Some(task_state) = job.tasks.get_mut(&task) {
             task_state.run_time_ratio = Some(ratio);
         }
@@ -336,15 +349,17 @@
         if run.start_attempts > 1 {
             return; // It is unknown which of the start requests began the run.
         }
-        let Some(target) = self.targets.get_mut(target_id) else { return };
+        let Some(kind) = self.targets.get(target_id).map(|t| t.info.kind.clone()) else { return };
         let took = (now - run.start_sent_at).as_secs_f64();
-        let kind = target.info.kind.clone();
-        let declared = declared.map(|d| d.as_millis() as u64);
-        let expected =
-            self.run_times.expected_seconds(queue, declared) * self.run_times.slowness(&kind);
+        let declared = self.declared_ms(declared);
+        let expected = self.run_times.expected_seconds(queue, declared) * self.kind_slowness(&kind);
+        let learns_slowness = self.enables(Mechanism::TargetSlowness);
+        let Some(target) = self.targets.get_mut(target_id) else { return };
         target.observed_runs += 1;
         let weight = SLOWNESS_WEIGHT.max(1.0 / (f64::from(target.observed_runs) + PRIOR_RUN_COUNT));
-        target.slowness = next_slowness(target.slowness, took / expected.max(1e-3), weight);
+        if learns_slowness {
+            target.slowness = next_slowness(target.slowness, took / expected.max(1e-3), weight);
+        }
         if TYPICAL_SLOWNESS.contains(&target.slowness) {
             self.run_times.observe(queue, declared, &kind, took);
             self.run_times.normalize();
--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -56,6 +56,7 @@
         LogEvent::Straggler { .. } => "straggler",
         LogEvent::SlowRun { .. } => "slow run",
         LogEvent::Abandoned { .. } => "gave up",
+        LogEvent::CompletedLate { .. } => "late",
         LogEvent::Ejected { .. } => "set aside",
         LogEvent::TargetStateChanged { .. } => "target",
         LogEvent::Suspended { .. } => "woke",
@@ -64,14 +65,12 @@
 
 fn write(event: &LogEvent) {
     match event {
-        LogEvent::Admitted { id, queue, expected, ahead } => {
-            log::info!(
-                "dispatch: job {id} of {queue} admitted, expected={expected:?} ahead={ahead}"
-            );
+        LogEvent::Admitted { job, expected, ahead } => {
+            log::info!("dispatch: job {job} admitted, expected={expected:?} ahead={ahead}");
         }
-        LogEvent::Refused { id, refusal, expected, age, waiting, usable } => {
+        LogEvent::Refused { job, refusal, expected, age, waiting, usable } => {
             log::info!(
-                "dispatch: job {id} refused: {refusal}, expected={expected:?} age={age:?} \
+                "dispatch: job {job} refused: {refusal}, expected={expected:?} age={age:?} \
                  waiting={waiting} usable={usable}"
             );
         }
@@ -97,12 +96,17 @@
         LogEvent::SlowRun { task, target, ratio } => {
             log::info!("dispatch: {task} on {target} takes {ratio:.1} times the expected run time");
         }
-        LogEvent::Abandoned { id, reason, age, waiting, running, scale } => {
+        LogEvent::Abandoned { job, reason, age, waiting, running, scale } => {
             log::info!(
-                "dispatch: job {id} abandoned: {reason}, age={age:?} waiting={waiting} \
+                "dispatch: job {job} abandoned: {reason}, age={age:?} waiting={waiting} \
                  running={running} scale={scale:.2}"
             );
         }
+        LogEvent::CompletedLate { job, age, late_by, scale } => {
+            log::info!(
+                "dispatch: job {job} completed late, age={age:?} late_by={late_by:?} scale={scale:.2}"
+            );
+        }
         LogEvent::Ejected { target, pause } => {
             log::warn!("targets: {target} ejected for {pause:?}");
         }
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -120,6 +120,7 @@
             self.timing,
             now,
         );
+        core.disable(self.disabled);
         let predecessor_has_targets = !kept.is_empty();
         core.set_predecessor_targets(kept, now);
         log::info!("dispatch: this VM is now the dispatcher of {}, epoch {epoch}", self.me.zone);
--- a/src/fleet/election.rs
+++ b/src/fleet/election.rs
@@ -5,7 +5,7 @@
 use crate::{
     coordination::election::{Answer, Decision, Rank, Round, peers_of_round},
     protocol::fleet::{Heartbeat, Peer},
-    state::id::ZoneName,
+    state::{id::ZoneName, mechanism::Mechanism},
     transport::fleet::PeerLink,
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -86,7 +86,8 @@
     /// Whether the zone should be handed over to a peer, since its processor share is much larger
     /// and it has the same configuration.
     fn should_hand_over(&self, link: &PeerLink) -> bool {
-        link.last_heartbeat().is_some_and(|heartbeat| {
+        let is_enabled = self.enables(Mechanism::Handover);
+        link.last_heartbeat().filter(|_| is_enabled).is_some_and(|heartbeat| {
             let stronger = f64::from(heartbeat.from.weight)
                 > f64::from(self.me.weight) * HANDOVER_WEIGHT_RATIO;
             stronger && !heartbeat.leaving && heartbeat.config_version == self.config_version()
@@ -203,7 +204,9 @@
             stronger_peers: peers
                 .iter()
                 .filter(|peer| {
-                    rank(peer) < own_rank && Some(peer.address) != self.last_dispatcher.get()
+                    self.enables(Mechanism::StaggeredElections)
+                        && rank(peer) < own_rank
+                        && Some(peer.address) != self.last_dispatcher.get()
                 })
                 .count(),
             known_peers: peers.len(),
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -6,7 +6,10 @@
         MAX_DISPATCHER_SEARCH, MIN_TIME_TO_RESUBMIT, should_await_dispatcher,
     },
     protocol::fleet::DispatchReply,
-    state::job_submission::{CallerJobId, JobSubmission, Outcome, Refusal},
+    state::{
+        job_submission::{CallerJobId, JobSubmission, Outcome, Refusal},
+        mechanism::Mechanism,
+    },
     transport::{
         fleet::{DispatchOptions, PeerLink},
         rpc::RpcError,
@@ -91,7 +94,10 @@
                     self.metrics.redirected();
                     match self.submit_to(to, &remaining).await {
                         // Nothing of the job ran in the other zone, so this zone may still run it.
-                        Outcome::NotRun { .. } if time_to_deadline > MIN_TIME_TO_RESUBMIT => {
+                        Outcome::NotRun { .. }
+                            if time_to_deadline > MIN_TIME_TO_RESUBMIT
+                                && self.enables(Mechanism::RedirectFallback) =>
+                        {
                             options.may_redirect = false;
                             continue;
                         }
@@ -125,7 +131,8 @@
     fn awaits_dispatcher(&self, submission: &JobSubmission, begun: Instant) -> bool {
         let waited = begun.elapsed();
         let time_to_deadline = submission.time_to_deadline.saturating_sub(waited);
-        should_await_dispatcher(self.dispatcher_missing_for(), waited, time_to_deadline)
+        self.enables(Mechanism::ElectionWait)
+            && should_await_dispatcher(self.dispatcher_missing_for(), waited, time_to_deadline)
     }
 
     /// Waits until this process can barely send an answer before it exits.
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -5,7 +5,10 @@
 //! predecessor has finished or is unresponsive.
 
 use super::{Node, TargetClient, dispatcher::DispatcherState, election};
-use crate::{state::target::TargetId, transport::fleet::PeerLink};
+use crate::{
+    state::{mechanism::Mechanism, target::TargetId},
+    transport::fleet::PeerLink,
+};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -27,7 +30,10 @@
     /// order of their rank.
     pub(super) async fn hand_over_zone(self: Rc<Self>) {
         let begun = Instant::now();
-        while self.is_dispatcher() && begun.elapsed() < MAX_HANDOVER {
+        while self.enables(Mechanism::Handover)
+            && self.is_dispatcher()
+            && begun.elapsed() < MAX_HANDOVER
+        {
             for peer in self.zone_peers() {
                 let Ok(link) =
                     PeerLink::connect(&self, peer.address, election::HEARTBEAT_INTERVAL).await
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -28,6 +28,7 @@
         id::{ConfigVersion, VmName, ZoneName},
         job_submission::JobSubmission,
         known_targets::KnownTargets,
+        mechanism::{Mechanism, MechanismSet},
         target::{TargetId, TargetInfo, TargetReport, TargetTime},
     },
     transport::fleet::{DispatchOptions, PeerHandler, PeerLink},
@@ -71,6 +72,8 @@
     me: Peer,
     targets: T,
     timing: Timing,
+    /// Mechanisms that are switched off.
+    disabled: MechanismSet,
     clock: Clock,
     config: RefCell<Option<Arc<FleetConfig>>>,
     peers: RefCell<IndexMap<VmName, Peer>>,
@@ -116,12 +119,14 @@
 where
     T: TargetClient,
 {
-    /// Creates a VM without configuration, peers and targets.
-    pub fn new(me: Peer, targets: T, timing: Timing) -> Rc<Self> {
+    /// Creates a VM without configuration, peers and targets. The mechanisms in `disabled` are
+    /// switched off.
+    pub fn new(me: Peer, targets: T, timing: Timing, disabled: MechanismSet) -> Rc<Self> {
         Rc::new(Node {
             me,
             targets,
             timing,
+            disabled,
             clock: Clock::new(),
             config: RefCell::default(),
             peers: RefCell::default(),
@@ -148,6 +153,10 @@
         })
     }
 
+    fn enables(&self, mechanism: Mechanism) -> bool {
+        !self.disabled.contains(mechanism)
+    }
+
     /// Name, zone and address of this VM, as its peers see it.
     pub fn me(&self) -> &Peer {
         &self.me
@@ -242,6 +251,7 @@
     pub fn follows_targets(&self) -> bool {
         let others = self.zone_peers();
         self.is_dispatcher()
+            || !self.enables(Mechanism::Standbys)
             || is_standby(&election::rank(&self.me), others.iter().map(election::rank))
     }
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,6 +7,7 @@
 pub mod known_targets;
 pub mod ledger;
 pub mod loan;
+pub mod mechanism;
 pub mod message_counts;
 pub mod outlier;
 pub mod policy;
