Survive huge numbers from callers, targets and the configuration

A huge objective factor in the configuration made every submission panic (a duration times a factor overflows); a huge CPU request or a report with a huge percentage or clock overflowed too, unnoticed in release builds and with a panic in others. A panic in a periodic check would have ended the checks for good while the VM kept its role.

Ruled out: garbage on the callers', readiness and peer ports, rows that name no target; the new process test sends them, and they did no harm before.

Measured: the three tests of malformed.rs failed before and pass now. The step down has no test of its own: no input is known any more that makes a decision panic.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -176,8 +176,7 @@
         self.schedule_ahead(&mut forecast, Some(rank), now);
         let ahead = self.queued_jobs.iter().take_while(|other| **other < rank).count();
         let end = self.schedule_waiting(&mut forecast, &job, now);
-        let cpu: u64 =
-            job.submission.steps.iter().map(|s| s.needs.cpu.0 * u64::from(s.count)).sum();
+        let cpu = job.submission.total_millicores();
         let late = end.is_none_or(|end| end > job.objective);
         let is_servable = self.is_servable(&job.submission, &queue);
         let zone = match origin {
@@ -236,7 +235,7 @@
             submissions: Vec::new(),
             arrived_at,
             deadline: arrived_at + submission.time_to_deadline.min(queue.timeout),
-            objective: arrived_at + longest.mul_f64(queue.objective_factor) + queue.objective_base,
+            objective: arrived_at + queue.objective(longest),
             priority: queue.priority,
             max_attempts: queue.max_attempts.max(1),
             first_failed_target: None,
@@ -277,10 +276,10 @@
         let would_wait = self.enables(Mechanism::WaitingRedirect)
             && !job.has_hard_deadline()
             && spare.total_millicores < cpu;
-        let min_fast = cpu.min(spare.fast_millicores + cpu / FAST_MARGIN_DIVISOR);
+        let min_fast = cpu.min(spare.fast_millicores.saturating_add(cpu / FAST_MARGIN_DIVISOR));
         let zone_with_fast = || self.best_remote_zone(min_fast, now, |spare| spare.fast_millicores);
         let zone_with_ample = || {
-            self.best_remote_zone(cpu * WAITING_JOB_SPARE_FACTOR, now, |spare| {
+            self.best_remote_zone(cpu.saturating_mul(WAITING_JOB_SPARE_FACTOR), now, |spare| {
                 spare.total_millicores
             })
         };
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -8,7 +8,7 @@
         job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, RunNumber, Step, TaskId},
         mechanism::Mechanism,
         target::TargetId,
-        time::Moment,
+        time::{Moment, scale},
     },
 };
 use indexmap::IndexMap;
@@ -37,7 +37,7 @@
     pub last_run: u32,
     /// Target on which a run of it may exist.
     pub target: Option<TargetId>,
-    /// Target on which its last failed run was.
+    /// Target on which its last run that failed or stood still was.
     pub failed_on: Option<TargetId>,
     /// Whether a run of it succeeded.
     pub done: bool,
@@ -93,7 +93,7 @@
         if self.start_sent || self.deferred {
             return self.deadline;
         }
-        let span = (self.objective - self.arrived_at).mul_f64(MAX_OBJECTIVE_OVERRUN);
+        let span = scale(self.objective - self.arrived_at, MAX_OBJECTIVE_OVERRUN);
         (self.arrived_at + span).min(self.deadline)
     }
 
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -314,9 +314,9 @@
         let mut spare = SpareCpu::default();
         for target in self.targets.values().filter(|t| self.is_usable(t, now)) {
             let cpu = target.free_resources().cpu.0;
-            spare.total_millicores += cpu;
+            spare.total_millicores = spare.total_millicores.saturating_add(cpu);
             if self.target_slowness(target) <= MAX_FAST_SLOWNESS {
-                spare.fast_millicores += cpu;
+                spare.fast_millicores = spare.fast_millicores.saturating_add(cpu);
             }
         }
         for job in self.queued_jobs.iter().filter_map(|rank| self.jobs.get(&rank.key)) {
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -4,7 +4,7 @@
 use crate::state::{
     job_submission::{RunNumber, TaskId},
     mechanism::Mechanism,
-    target::{ClockReading, RunOutcome, RunState, TargetId, TargetReport, TargetTime},
+    target::{ClockReading, Run, RunOutcome, RunState, TargetId, TargetReport, TargetTime},
     time::Moment,
 };
 use std::time::Duration;
@@ -328,7 +328,7 @@
             let known = target.runs.get_mut(&running.task);
             let Some(run) = known.filter(|run| run.number == running.run) else { continue };
             let is_first = run.progress_percent < MIN_PROGRESS_PERCENT;
-            run.progress_percent = running.progress_percent;
+            run.progress_percent = running.progress_percent.min(100);
             if run.progress_percent < MIN_PROGRESS_PERCENT {
                 continue;
             }
--- a/src/coordination/dispatch/timing.rs
+++ b/src/coordination/dispatch/timing.rs
@@ -133,7 +133,7 @@
         if target.has_unconfirmed_stop(now) {
             return None;
         }
-        let lease_end = TargetTime(clock.earliest_at(now).0 + self.lease.as_millis() as u64);
+        let lease_end = clock.earliest_at(now).saturating_add(self.lease);
         target.lease_end = target.lease_end.max(now + self.lease_bound);
         Some(lease_end)
     }
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -22,6 +22,7 @@
 use std::{
     hash::{Hash, Hasher},
     net::SocketAddr,
+    panic::{AssertUnwindSafe, catch_unwind},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -150,7 +151,11 @@
     pub(super) fn step_down(self: &Rc<Self>, reason: &str) {
         let Some(mut old) = self.dispatcher.borrow_mut().take() else { return };
         log::warn!("dispatch: this VM steps down, epoch {}: {reason}", old.epoch);
-        old.core.abandon();
+        if catch_unwind(AssertUnwindSafe(|| old.core.abandon())).is_err() {
+            // Dropping the waiters answers the open submissions as unknown.
+            log::error!("dispatch: the open jobs can't be abandoned one by one");
+            return;
+        }
         self.past_counts.set(self.past_counts.get() + old.core.counts());
         for action in old.core.take_actions() {
             let Action::Answer { key, outcome, .. } = action else { continue };
@@ -219,19 +224,32 @@
     where
         F: FnOnce(&mut Dispatcher, Moment),
     {
-        let now = self.clock.now();
-        let actions = {
-            let mut dispatcher = self.dispatcher.borrow_mut();
-            let Some(d) = dispatcher.as_mut().filter(|d| d.epoch == epoch) else { return false };
-            f(&mut d.core, now);
-            d.core.take_actions()
-        };
+        let Some(((), actions)) = self.call_core(epoch, f) else { return false };
         for action in actions {
             self.carry_out(epoch, action);
         }
         true
     }
 
+    /// Calls `f` with the core and returns its result and the actions that the core decided; `None`
+    /// if this VM is not the dispatcher with this epoch. If `f` panics, this VM steps down, since the
+    /// state of the core may be inconsistent.
+    fn call_core<F, R>(self: &Rc<Self>, epoch: u64, f: F) -> Option<(R, Vec<Action>)>
+    where
+        F: FnOnce(&mut Dispatcher, Moment) -> R,
+    {
+        let now = self.clock.now();
+        let called = {
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            let core = &mut dispatcher.as_mut().filter(|d| d.epoch == epoch)?.core;
+            catch_unwind(AssertUnwindSafe(|| (f(core, now), core.take_actions())))
+        };
+        if called.is_err() {
+            self.step_down("a decision panicked");
+        }
+        called.ok()
+    }
+
     /// Carries out one action of the core.
     fn carry_out(self: &Rc<Self>, epoch: u64, action: Action) {
         match action {
@@ -349,16 +367,17 @@
         let closed =
             Outcome::NotRun { refusal: Refusal::Closed, retry_after: Duration::from_millis(500) };
         let (tx, rx) = oneshot::channel();
-        let now = self.clock.now();
-        let submitted = {
-            let mut dispatcher = self.dispatcher.borrow_mut();
-            dispatcher.as_mut().map(|d| {
-                let key = d.core.submit(submission, options.may_redirect, options.resumed, now);
-                d.waiters.insert(key, tx);
-                (d.epoch, key, d.core.take_actions())
-            })
+        let Some(epoch) = self.dispatcher.borrow().as_ref().map(|d| d.epoch) else {
+            return DispatchReply::Ended(closed);
         };
-        let Some((epoch, key, actions)) = submitted else { return DispatchReply::Ended(closed) };
+        let DispatchOptions { may_redirect, resumed } = options;
+        let submitted =
+            self.call_core(epoch, |core, now| core.submit(submission, may_redirect, resumed, now));
+        // A task may have been started before the panic.
+        let Some((key, actions)) = submitted else { return DispatchReply::Ended(Outcome::Unknown) };
+        if let Some(d) = &mut *self.dispatcher.borrow_mut() {
+            d.waiters.insert(key, tx);
+        }
         let _guard = CancelGuard { node: Rc::clone(self), key, epoch };
         for action in actions {
             self.carry_out(epoch, action);
--- a/src/state/fleet_config.rs
+++ b/src/state/fleet_config.rs
@@ -1,7 +1,7 @@
 //! The configuration of the dispatchers of leased targets: queues, pools of targets and limits on
 //! requests.
 
-use super::id::ConfigVersion;
+use super::{id::ConfigVersion, time::scale};
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 use std::{str::FromStr, sync::Arc, time::Duration};
@@ -87,6 +87,13 @@
     pub needs_advice: bool,
 }
 
+impl Queue {
+    /// Latency objective of a job whose longest chain of tasks takes `run_time`.
+    pub fn objective(&self, run_time: Duration) -> Duration {
+        scale(run_time, self.objective_factor).saturating_add(self.objective_base)
+    }
+}
+
 /// A pool of targets.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Pool {
--- a/src/state/job_submission.rs
+++ b/src/state/job_submission.rs
@@ -145,6 +145,14 @@
     pub time_to_deadline: Duration,
 }
 
+impl JobSubmission {
+    /// CPU that all tasks take together, in thousandths of a core; [`u64::MAX`] if it is more.
+    pub fn total_millicores(&self) -> u64 {
+        let cpu = |step: &Step| step.needs.cpu.0.saturating_mul(step.count.into());
+        self.steps.iter().map(cpu).fold(0, u64::saturating_add)
+    }
+}
+
 /// Reason why a job was refused and not run.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Refusal {
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -49,6 +49,13 @@
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TargetTime(pub u64);
 
+impl TargetTime {
+    /// Returns the time that the clock shows `duration` later, or the latest one that it can show.
+    pub fn saturating_add(self, duration: Duration) -> Self {
+        TargetTime(self.0.saturating_add(duration.as_millis() as u64))
+    }
+}
+
 /// Description of a target in the platform's list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetInfo {
@@ -197,7 +204,7 @@
     /// Returns the earliest time that the target's clock can show at `now`: the delay of the answer
     /// that contained the reading is unknown and taken as zero.
     pub fn earliest_at(self, now: Moment) -> TargetTime {
-        TargetTime(self.time.0 + (now - self.received_at).as_millis() as u64)
+        self.time.saturating_add(now - self.received_at)
     }
 }
 
--- a/src/state/time.rs
+++ b/src/state/time.rs
@@ -39,6 +39,22 @@
     }
 }
 
+/// Returns `factor` times a duration, or the longest duration if that is longer. A factor that is
+/// negative or no number counts as 0.
+///
+/// ```
+/// use cranberrytray::state::time::scale;
+/// use std::time::Duration;
+///
+/// assert_eq!(scale(Duration::from_secs(2), 1.5), Duration::from_secs(3));
+/// assert_eq!(scale(Duration::from_secs(2), 1e300), Duration::MAX);
+/// assert_eq!(scale(Duration::from_secs(2), -1.0), Duration::ZERO);
+/// ```
+pub fn scale(duration: Duration, factor: f64) -> Duration {
+    let seconds = (duration.as_secs_f64() * factor).max(0.0);
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
+
 impl Add<Duration> for Moment {
     type Output = Moment;
 
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod bounds;
 mod fake_target;
 mod load;
+mod malformed;
 mod ownership;
 mod runs;
 mod simulation;
