Restart runs that make no progress at all

A run without progress counted as a straggler only after 2.5 times its expected time and 0.1 s, for tasks of 0.9 s later than their deadline: eight to fourteen such jobs were held until their deadline, most with one run left.

Change: a run that a report shows at 0% 0.1 s after its confirmed start, while it should be much further, is a straggler: its target gets a fault, its task goes to another one.

--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -280,6 +280,7 @@
             start_attempts: 1,
             expected_duration: best.run_time,
             expected_end: now + best.run_time,
+            stalled: false,
             progress_percent: 0,
             min_projected_duration: None,
             slow: false,
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -1,6 +1,6 @@
 //! Handles the replies of targets to start, stop and lease renewal requests.
 
-use super::{Action, Dispatcher, LogEvent, SubmissionKey};
+use super::{Action, Dispatcher, LogEvent, SubmissionKey, runs::STRAGGLER_FACTOR};
 use crate::state::{
     job_submission::{RunNumber, TaskId},
     mechanism::Mechanism,
@@ -81,6 +81,24 @@
     NoAnswer,
 }
 
+/// Shortest time since the start of a run after which a lack of progress shows that it stands still.
+const MIN_STALL_TIME: Duration = Duration::from_millis(100);
+/// Assumed age of the progress in a report.
+const REPORT_AGE: Duration = Duration::from_millis(20);
+
+impl Run {
+    /// Whether the run has made so little progress that it will take far longer than expected.
+    fn shows_no_progress(&self, now: Moment) -> bool {
+        let RunState::Running { since } = self.state else { return false };
+        let elapsed = (now - since).saturating_sub(REPORT_AGE);
+        // Progress is rounded down to whole percents, so that none is less than one percent.
+        let shortest = elapsed * 100;
+        self.progress_percent == 0
+            && elapsed >= MIN_STALL_TIME
+            && shortest > self.expected_duration.mul_f64(STRAGGLER_FACTOR)
+    }
+}
+
 impl Dispatcher {
     /// Handles the reply to a start request.
     pub fn on_start_reply(
@@ -322,6 +340,7 @@
     /// Updates the expected ends of runs from their reported progress.
     fn update_progress(&mut self, id: &TargetId, report: &TargetReport, now: Moment) {
         let learns_run_times = self.enables(Mechanism::JobRunTimes);
+        let detects_stalls = self.enables(Mechanism::StallDetection);
         let Some(target) = self.targets.get_mut(id) else { return };
         let mut projections = Vec::new();
         for running in &report.running {
@@ -329,6 +348,7 @@
             let Some(run) = known.filter(|run| run.number == running.run) else { continue };
             let is_first = run.progress_percent < MIN_PROGRESS_PERCENT;
             run.progress_percent = running.progress_percent.min(100);
+            run.stalled = detects_stalls && run.shows_no_progress(now);
             if run.progress_percent < MIN_PROGRESS_PERCENT {
                 continue;
             }
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -15,7 +15,7 @@
 /// Added to the request timeout; the sum is the time after which an unconfirmed stop is repeated.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// A run is a straggler after this many times its expected run time plus [`STRAGGLER_SLACK`].
-const STRAGGLER_FACTOR: f64 = 2.5;
+pub(super) const STRAGGLER_FACTOR: f64 = 2.5;
 /// Fixed part of the time after which a run is a straggler.
 const STRAGGLER_SLACK: Duration = Duration::from_millis(100);
 
@@ -81,7 +81,7 @@
                         let is_stalled = run
                             .min_projected_duration
                             .is_none_or(|shortest| duration > shortest * 2);
-                        if now - since > limit && is_stalled {
+                        if now - since > limit && is_stalled || run.stalled {
                             stragglers.push((key(), now - since));
                         }
                     }
@@ -185,7 +185,10 @@
         let task_state =
             key.and_then(|k| self.jobs.get_mut(&k)).and_then(|j| j.tasks.get_mut(&task));
         match task_state {
-            Some(task_state) if !task_state.restarted => task_state.restarted = true,
+            Some(task_state) if !task_state.restarted => {
+                task_state.restarted = true;
+                task_state.failed_on = Some(target_id.clone());
+            }
             _ => return,
         }
         self.counts.stragglers += 1;
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -24,6 +24,8 @@
     StragglerRestart,
     /// A run that will end after its job's deadline is restarted where it would not.
     LateRunRestart,
+    /// A run that makes no progress at all after its start is restarted on another target.
+    StallDetection,
     /// A job is abandoned once a run of it can't end before the deadline, restarted or not.
     LateRunAbandonment,
     /// A task with a hard deadline waits for the fastest target while it has slack.
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -182,6 +182,8 @@
     pub expected_duration: Duration,
     /// Time at which the run is expected to end, according to its progress if that is known.
     pub expected_end: Moment,
+    /// Whether it had made no progress at all long after its start, when its target last reported.
+    pub stalled: bool,
     /// Progress in the last report of the target, in percent, rounded down.
     pub progress_percent: u32,
     /// Shortest total run time projected from the progress so far; `None` until the progress is
--- a/tests/dispatch/fake_target.rs
+++ b/tests/dispatch/fake_target.rs
@@ -31,6 +31,8 @@
     UnreachableAfterStart,
     /// Every twelfth reply to a lease renewal is lost.
     LosesRenewalReplies,
+    /// Requests are executed, but all replies are lost.
+    LosesReplies,
     /// All requests are lost, but existing runs go on.
     Unresponsive,
 }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod bounds;
 mod fake_target;
+mod faulty_targets;
 mod load;
 mod malformed;
 mod ownership;
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -263,8 +263,14 @@
                 target.extend_lease(end, self.bounds.max_lease, now);
             }
             let report = target.report(now);
-            target.reported_end = target.ended.last().map_or(renewal.last_end, |end| end.sequence);
-            Ok(report)
+            if target.fault == Fault::LosesReplies {
+                target.next_renewal = now + ms(50);
+                Err(LeaseRenewalError::NoAnswer)
+            } else {
+                target.reported_end =
+                    target.ended.last().map_or(renewal.last_end, |end| end.sequence);
+                Ok(report)
+            }
         };
         self.dispatcher.on_lease_renewal_reply(id, now, reply, now);
         self.process_actions();
@@ -345,7 +351,9 @@
             target.starts.push((request.task, now));
             target.extend_lease(lease_end, self.bounds.max_lease, now);
             match target.fault {
-                Fault::LosesStartReplies | Fault::UnreachableAfterStart => StartReply::Unknown,
+                Fault::LosesStartReplies | Fault::LosesReplies | Fault::UnreachableAfterStart => {
+                    StartReply::Unknown
+                }
                 _ => StartReply::Started(clock),
             }
         };
@@ -355,7 +363,10 @@
     fn stop(&mut self, request: &RunRequest) {
         let now = self.now;
         let target = &mut self.targets[&request.target];
-        let reply = if matches!(target.fault, Fault::Unresponsive | Fault::LosesStopRequests) {
+        let reply = if matches!(
+            target.fault,
+            Fault::Unresponsive | Fault::LosesReplies | Fault::LosesStopRequests
+        ) {
             StopReply::Unknown
         } else if request.fencing_token < target.fencing_token {
             StopReply::Fenced
