Finish jobs with a hard deadline that have begun before others begin

Their tasks started one by one as room came, urgent jobs and other long ones took the room between, and all their work was thrown away.

Change: once a job whose objective is its deadline has begun, it comes before all jobs that are not late, in starting, shedding and forecasts.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -171,7 +171,7 @@
         }
         let id = submission.id;
         let mut job = self.new_job(submission, &queue, arrived_at);
-        let rank = Rank { late: false, priority: job.priority, key };
+        let rank = self.rank_of(&job, key);
         let mut forecast = self.forecast(now);
         self.schedule_ahead(&mut forecast, Some(rank), now);
         let ahead = self.queued_jobs.iter().take_while(|other| **other < rank).count();
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -228,8 +228,19 @@
     }
 
     pub(super) fn rank(&self, key: SubmissionKey) -> Option<Rank> {
-        let job = self.jobs.get(&key)?;
-        Some(Rank { late: job.late, priority: job.priority, key })
+        Some(self.rank_of(self.jobs.get(&key)?, key))
+    }
+
+    /// Rank of a job. All work of a job with a hard deadline is lost if one of its tasks ends too late,
+    /// so once it has begun it comes before others.
+    pub(super) fn rank_of(&self, job: &Job, key: SubmissionKey) -> Rank {
+        let is_begun = job.start_sent && job.has_hard_deadline();
+        Rank {
+            late: job.late,
+            yields_to_begun: !(is_begun && self.enables(Mechanism::BegunJobsFirst)),
+            priority: job.priority,
+            key,
+        }
     }
 
     /// Queues a job if some of its tasks wait, and removes it from the queue otherwise.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -144,6 +144,8 @@
 struct Rank {
     /// Set for jobs past their latency objective, which come after all others.
     late: bool,
+    /// Set for jobs that come after those with a hard deadline that have begun.
+    yields_to_begun: bool,
     priority: crate::state::fleet_config::Priority,
     key: SubmissionKey,
 }
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -260,6 +260,7 @@
         best: &Candidate,
         now: Moment,
     ) {
+        let old_rank = self.rank(key);
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let Some(target) = self.targets.get_mut(&best.id) else { return };
         let Some(lease_end) = self.timing.extend_lease(target, now) else {
@@ -287,6 +288,10 @@
         };
         target.add_run(task, run);
         let spec = job.submission.spec.clone();
+        // The caller queues the job again if tasks of it are left.
+        if let Some(old_rank) = old_rank.filter(|old| self.rank(key) != Some(*old)) {
+            self.queued_jobs.remove(&old_rank);
+        }
         let target = &self.targets[&best.id];
         let request = self.run_request(target, task, number);
         self.counts.starts += 1;
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -64,6 +64,8 @@
     AdmissionForecast,
     /// Waiting jobs that are no longer expected to end in time are refused or abandoned.
     Shedding,
+    /// A job with a hard deadline that has begun comes before all others.
+    BegunJobsFirst,
     /// Jobs past their objective come after all others.
     LateJobsLast,
     /// A submission waits until earlier runs of its job are closed.
--- a/tests/dispatch/load.rs
+++ b/tests/dispatch/load.rs
@@ -6,6 +6,7 @@
     state::{
         fleet_config::Label,
         job_submission::{Outcome, Refusal, Step},
+        mechanism::{Mechanism, MechanismSet},
         resources::{Accelerators, Mebibytes, MilliCores},
     },
 };
@@ -396,3 +397,33 @@
     let ejected = sim.log.iter().filter(|(_, e)| matches!(e, LogEvent::Ejected { .. })).count();
     assert_eq!(ejected, 0);
 }
+
+/// More long jobs with a hard deadline than fit beside a stream of urgent ones. Returns the number of
+/// long jobs that are completed, and of those that were begun in vain.
+fn long_jobs_in_an_urgent_stream(disabled: MechanismSet) -> (usize, usize) {
+    let mut sim = Simulation::with_speeds(&[1.0; 5]);
+    sim.dispatcher.disable(disabled);
+    let mut long = Vec::new();
+    for id in 0..150 {
+        if id % 12 == 10 {
+            long.push(sim.submit(submission(10_000 + id, LONG, 6, ms(900))));
+        }
+        sim.submit(submission(id, URGENT, 4, ms(60)));
+        sim.run(ms(40));
+    }
+    sim.run(ms(1_600));
+    assert_eq!(sim.duplicate_runs, []);
+    let count = |outcome| long.iter().filter(|key| sim.outcome(**key) == Some(outcome)).count();
+    (count(Outcome::Completed), count(Outcome::Unknown))
+}
+
+/// A job that has begun is finished before others begin, since all its work is lost otherwise.
+#[test]
+fn begun_long_jobs_are_finished_first() {
+    let (completed, in_vain) = long_jobs_in_an_urgent_stream(MechanismSet::default());
+    assert_eq!(in_vain, 0);
+    let disabled = [Mechanism::BegunJobsFirst].into_iter().collect();
+    let (completed_before, in_vain_before) = long_jobs_in_an_urgent_stream(disabled);
+    assert!(completed > completed_before, "{completed} {completed_before}");
+    assert!(in_vain_before > 0);
+}
