--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -245,7 +245,6 @@
             start_sent: false,
             slow_target: None,
             deferred: false,
-            late: false,
             log_run_time_ratio: None,
             submission,
         };
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -25,9 +25,6 @@
 /// since expected run times are off by a third.
 const MAX_OBJECTIVE_OVERRUN: f64 = 1.3;
 
-/// Value of an answer after the latency objective, relative to one in time, as users rate it.
-const LATE_ANSWER_VALUE: f64 = 0.2;
-
 /// The state of one task.
 #[derive(Clone, Debug, Default)]
 pub struct TaskState {
@@ -79,8 +76,6 @@
     pub slow_target: Option<TargetId>,
     /// Whether its admission was deferred, so that its caller has waited and it may have run.
     pub deferred: bool,
-    /// Whether it is queued behind all jobs that can still meet their objective.
-    pub late: bool,
     /// Logarithm of [`Job::run_time_ratio`]; `None` before the first observation.
     pub log_run_time_ratio: Option<f64>,
 }
@@ -118,12 +113,6 @@
         others.filter_map(|(_, state)| state.run_time_ratio).min_by(f64::total_cmp)
     }
 
-    /// Whether so many tasks wait that an answer in time to another caller is worth more than the
-    /// late answer to this one.
-    fn has_many_waiting_tasks(&self) -> bool {
-        self.waiting_tasks.len() as f64 > LATE_ANSWER_VALUE * self.tasks.len() as f64
-    }
-
     /// Expected run time of the longest chain of steps after the step of a task.
     pub fn chain_after(&self, task: TaskId) -> Duration {
         let chain = self.chains_after.get(task.step as usize).copied().unwrap_or_default();
@@ -206,27 +195,6 @@
 }
 
 impl Dispatcher {
-    /// Moves jobs that have missed their latency objective, and have many waiting tasks, behind all
-    /// others.
-    pub(super) fn demote_late(&mut self, now: Moment) {
-        if !self.enables(Mechanism::LateJobsLast) {
-            return;
-        }
-        let waiting = self.queued_jobs.iter().filter(|rank| !rank.late);
-        let late = waiting.filter(|rank| {
-            self.jobs
-                .get(&rank.key)
-                .is_some_and(|job| job.objective < now && job.has_many_waiting_tasks())
-        });
-        for rank in late.copied().collect::<Vec<Rank>>() {
-            self.queued_jobs.remove(&rank);
-            self.queued_jobs.insert(Rank { late: true, ..rank });
-            if let Some(job) = self.jobs.get_mut(&rank.key) {
-                job.late = true;
-            }
-        }
-    }
-
     pub(super) fn rank(&self, key: SubmissionKey) -> Option<Rank> {
         Some(self.rank_of(self.jobs.get(&key)?, key))
     }
@@ -236,7 +204,6 @@
     pub(super) fn rank_of(&self, job: &Job, key: SubmissionKey) -> Rank {
         let is_begun = job.start_sent && job.has_hard_deadline();
         Rank {
-            late: job.late,
             yields_to_begun: !(is_begun && self.enables(Mechanism::BegunJobsFirst)),
             priority: job.priority,
             key,
--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -26,12 +26,13 @@
 
 impl From<&JobSubmission> for JobLabel {
     fn from(submission: &JobSubmission) -> Self {
-        let work = |step: &Step| step.declared.unwrap_or_default() * step.count;
+        let work = |step: &Step| step.declared.unwrap_or_default().saturating_mul(step.count);
+        let steps = &submission.steps;
         JobLabel {
             id: submission.id,
             queue: submission.queue.clone(),
-            tasks: submission.steps.iter().map(|step| step.count).sum(),
-            work: submission.steps.iter().map(work).sum(),
+            tasks: steps.iter().map(|step| step.count).fold(0, u32::saturating_add),
+            work: steps.iter().map(work).fold(Duration::ZERO, Duration::saturating_add),
         }
     }
 }
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -142,8 +142,6 @@
 /// Sort key of the queue, most urgent job first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
-    /// Set for jobs past their latency objective, which come after all others.
-    late: bool,
     /// Set for jobs that come after those with a hard deadline that have begun.
     yields_to_begun: bool,
     priority: crate::state::fleet_config::Priority,
@@ -357,7 +355,6 @@
     pub fn tick(&mut self, now: Moment) {
         self.check_suspension(now);
         self.expire_jobs(now);
-        self.demote_late(now);
         self.shed_late_jobs(now);
         self.check_targets(now);
         self.check_runs(now);
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -71,8 +71,7 @@
                         stopped.push((key(), run.number));
                     }
                     RunState::Running { since }
-                        if now - target.last_report_at <= MAX_REPORT_AGE
-                            && self.enables(Mechanism::StragglerRestart) =>
+                        if now - target.last_report_at <= MAX_REPORT_AGE =>
                     {
                         let limit =
                             run.expected_duration.mul_f64(STRAGGLER_FACTOR) + STRAGGLER_SLACK;
@@ -81,7 +80,10 @@
                         let is_stalled = run
                             .min_projected_duration
                             .is_none_or(|shortest| duration > shortest * 2);
-                        if now - since > limit && is_stalled || run.stalled {
+                        let is_straggler = self.enables(Mechanism::StragglerRestart)
+                            && now - since > limit
+                            && is_stalled;
+                        if is_straggler || run.stalled {
                             stragglers.push((key(), now - since));
                         }
                     }
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -66,8 +66,6 @@
     Shedding,
     /// A job with a hard deadline that has begun comes before all others.
     BegunJobsFirst,
-    /// Jobs past their objective come after all others.
-    LateJobsLast,
     /// A submission waits until earlier runs of its job are closed.
     Deferral,
     /// Jobs wait while their zone elects its dispatcher.
