Step down where a target that had accepted the token rejects it

Change: a target that had accepted this dispatcher's token and rejects it now was taken over by another one since, so the dispatcher steps down whatever its age. Only where its token was never accepted may a young one raise it. Rejections within 0.15 s of a raise of its own are ignored, since the requests may be older. The rule is a module without I/O.

Left: on slow VMs two VMs still become dispatcher in turn.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -103,7 +103,12 @@
     Watch(TargetId),
     /// Raise the fencing token or step down: the target rejected a request because it has seen a
     /// higher token.
-    Fenced(TargetId),
+    Fenced {
+        /// Target that rejected the request.
+        target: TargetId,
+        /// Whether it had accepted a request of this dispatcher before.
+        was_accepted: bool,
+    },
     /// Write an event to the log.
     Log(LogEvent),
 }
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -183,7 +183,8 @@
 
     fn on_fenced(&mut self, id: &TargetId) {
         self.counts.fenced_requests += 1;
-        self.actions.push(Action::Fenced(id.clone()));
+        let was_accepted = self.targets.get(id).is_some_and(|target| target.accepted_token);
+        self.actions.push(Action::Fenced { target: id.clone(), was_accepted });
     }
 
     /// Handles a refused first start request: the run does not exist.
@@ -269,6 +270,7 @@
         let Some(target) = self.targets.get_mut(id) else { return };
         target.clock = latest_clock(target.clock, report.clock, now);
         target.last_report_at = now;
+        target.accepted_token = true;
         target.missed_answers = 0;
         if target.unresponsive_since.take().is_some() {
             self.log(LogEvent::TargetStateChanged {
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -35,6 +35,13 @@
 /// same time. The one that stays is young enough to raise its fencing token.
 const CONCURRENT_EPOCHS: u64 = 5;
 
+/// A dispatcher that is younger than this may raise its fencing token; an older one was replaced.
+const MAX_AGE_TO_RAISE: Duration = Duration::from_secs(2);
+/// Shortest time between two raises of the fencing token.
+const MIN_RAISE_INTERVAL: Duration = Duration::from_millis(60);
+/// Requests that were sent before a raise of the fencing token are answered within this time.
+const OLD_REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// A zone that has been without a dispatcher for this long has VMs that can't elect one, since they
 /// are cut off or have no configuration. An election takes a third of it.
 const MAX_ELECTION_DURATION: Duration = Duration::from_millis(900);
@@ -168,6 +175,44 @@
     }
 }
 
+/// What a dispatcher does after a target has rejected its fencing token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FencedDecision {
+    /// It goes on: the rejected request probably carried an earlier token of its own.
+    Ignore,
+    /// It raises its token, since the clock that gave it may be behind that of a predecessor.
+    Raise,
+    /// It steps down, since another dispatcher has replaced it.
+    StepDown,
+}
+
+/// A target's rejection of a dispatcher's fencing token.
+#[derive(Clone, Copy, Debug)]
+pub struct Fenced {
+    /// Time since the VM became dispatcher.
+    pub age: Duration,
+    /// Time since it last raised its token; `None` if it never did.
+    pub since_raise: Option<Duration>,
+    /// Whether the target had accepted a request of this dispatcher before.
+    pub was_accepted: bool,
+}
+
+impl Fenced {
+    /// Decides what the dispatcher does. A target that had accepted its token was taken over by
+    /// another dispatcher since: if both raised their tokens in turn, each would start tasks on
+    /// targets that the other believes to own.
+    pub fn decide(&self) -> FencedDecision {
+        let pause = if self.was_accepted { OLD_REQUEST_TIMEOUT } else { MIN_RAISE_INTERVAL };
+        if self.since_raise.is_some_and(|since| since < pause) {
+            FencedDecision::Ignore
+        } else if self.was_accepted || self.age >= MAX_AGE_TO_RAISE {
+            FencedDecision::StepDown
+        } else {
+            FencedDecision::Raise
+        }
+    }
+}
+
 /// Whether a job should wait for the election of its zone's dispatcher: the election is probably in
 /// progress, and the job can still be run after it. `missing_for` is the time for which the zone
 /// has been without a dispatcher, `waited` the time since the job was submitted.
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -8,7 +8,7 @@
             Action, Dispatcher, RunRequest, SubmissionKey, ownership::TargetListStatus,
             replies::LeaseRenewalError,
         },
-        election::Rival,
+        election::{Fenced, FencedDecision, Rival},
     },
     protocol::fleet::{DispatchReply, Heartbeat},
     state::{
@@ -42,12 +42,6 @@
 /// Number of low bits of a fencing token that hold a hash of the VM's name, which distinguishes the
 /// tokens of VMs that chose the same epoch.
 const FENCING_TOKEN_VM_BITS: u32 = 16;
-/// A dispatcher that is younger than this raises its fencing token if a target has seen a higher
-/// one. An older dispatcher was replaced, and steps down.
-const MAX_AGE_TO_RAISE: Duration = Duration::from_secs(2);
-/// Shortest time between two raises of the fencing token.
-const MIN_RAISE_INTERVAL: Duration = Duration::from_millis(60);
-
 /// State of a VM while it is its zone's dispatcher.
 pub struct DispatcherState {
     /// Decision core of the dispatcher.
@@ -270,7 +264,9 @@
                     spawn_local(Rc::clone(self).renew_leases(epoch, id));
                 }
             }
-            Action::Fenced(id) => self.on_fenced(epoch, &id),
+            Action::Fenced { target, was_accepted } => {
+                self.on_fenced(epoch, &target, was_accepted);
+            }
             Action::Log(event) => self.decision_log.borrow_mut().log(&event, self.clock.now()),
         }
     }
@@ -331,22 +327,23 @@
         }
     }
 
-    /// Handles a target's refusal of this dispatcher's fencing token: a dispatcher younger than
-    /// [`MAX_AGE_TO_RAISE`] raises its token, an older one was replaced and steps down.
-    fn on_fenced(self: &Rc<Self>, epoch: u64, id: &TargetId) {
+    /// Handles a target's refusal of this dispatcher's fencing token.
+    fn on_fenced(self: &Rc<Self>, epoch: u64, id: &TargetId, was_accepted: bool) {
         let now = self.clock.now();
-        let can_raise = match &*self.dispatcher.borrow() {
-            Some(d) if d.epoch == epoch => {
-                if now - d.raised_at < MIN_RAISE_INTERVAL && d.since != d.raised_at {
-                    return;
-                }
-                now - d.since < MAX_AGE_TO_RAISE
-            }
+        let fenced = match &*self.dispatcher.borrow() {
+            Some(d) if d.epoch == epoch => Fenced {
+                age: now - d.since,
+                since_raise: (d.raised_at != d.since).then(|| now - d.raised_at),
+                was_accepted,
+            },
             _ => return,
         };
-        if !can_raise {
-            self.step_down("a target has seen a higher fencing token");
-            return;
+        match fenced.decide() {
+            FencedDecision::Ignore => return,
+            FencedDecision::StepDown => {
+                return self.step_down(&format!("{id} has seen a higher fencing token"));
+            }
+            FencedDecision::Raise => {}
         }
         let raised = self.highest_epoch.get().max(epoch) + EPOCH_RAISE_UNITS;
         self.highest_epoch.set(raised);
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -231,6 +231,8 @@
     pub taken_over: bool,
     /// Time at which the takeover was completed.
     pub taken_over_at: Moment,
+    /// Whether the target has answered a request with this dispatcher's fencing token.
+    pub accepted_token: bool,
     /// Reading of the target's clock that is furthest ahead; `None` until one has arrived, or if
     /// the target has rejected a start because of its clock.
     pub clock: Option<ClockReading>,
@@ -268,6 +270,7 @@
             info,
             taken_over: false,
             taken_over_at: Moment::ZERO,
+            accepted_token: false,
             clock: None,
             runs: IndexMap::new(),
             used: Resources::default(),
--- a/tests/dispatch/ownership.rs
+++ b/tests/dispatch/ownership.rs
@@ -265,3 +265,19 @@
     sim.run(ms(300));
     assert!(matches!(sim.outcome(key), Some(Outcome::NotRun { .. })), "{:?}", sim.outcome(key));
 }
+
+/// Guards against two dispatchers of a zone that raise their tokens in turn, so that a task runs
+/// twice: a target that had accepted the token shows that another dispatcher came later.
+#[test]
+fn fenced_reports_whether_the_target_had_accepted_the_token() {
+    let mut sim = Simulation::new(2);
+    sim.target(0).fencing_token = FencingToken(200);
+    sim.publish_targets();
+    sim.run(ms(20));
+    let never_accepted = (TargetId::from("t0"), false);
+    assert!(!sim.fenced.is_empty() && sim.fenced.iter().all(|fenced| *fenced == never_accepted));
+    sim.fenced.clear();
+    sim.target(1).fencing_token = FencingToken(200);
+    sim.run(ms(400));
+    assert!(sim.fenced.contains(&(TargetId::from("t1"), true)), "{:?}", sim.fenced);
+}
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -105,6 +105,8 @@
     pub redirected: Vec<(SubmissionKey, SocketAddr)>,
     pub duplicate_runs: Vec<TaskId>,
     pub log: Vec<(Moment, LogEvent)>,
+    /// Targets that rejected the fencing token, and whether they had accepted it before.
+    pub fenced: Vec<(TargetId, bool)>,
     list: Vec<TargetInfo>,
     pub list_status: TargetListStatus,
     /// Bounds that the targets keep to.
@@ -129,6 +131,7 @@
             redirected: Vec::new(),
             duplicate_runs: Vec::new(),
             log: Vec::new(),
+            fenced: Vec::new(),
             list: (0..targets).map(target_info).collect(),
             list_status: TargetListStatus { is_current: true, is_complete: true },
             bounds,
@@ -304,7 +307,9 @@
                     Action::Watch(id) => self.targets[&id].is_watched = true,
                     Action::Redirect { key, to, .. } => self.redirected.push((key, to)),
                     Action::Log(event) => self.log.push((self.now, event)),
-                    Action::Fenced(_) => {}
+                    Action::Fenced { target, was_accepted } => {
+                        self.fenced.push((target, was_accepted));
+                    }
                 }
             }
         }
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -1,7 +1,8 @@
 //! Rules of the election of a zone's dispatcher, and which jobs wait for it.
 
 use cranberrytray::coordination::election::{
-    Answer, Decision, Rank, Rival, Round, is_standby, peers_of_round, should_await_dispatcher,
+    Answer, Decision, Fenced, FencedDecision, Rank, Rival, Round, is_standby, peers_of_round,
+    should_await_dispatcher,
 };
 use std::time::Duration;
 
@@ -198,3 +199,32 @@
         assert!(!winner.yields_to(&loser), "{name}");
     }
 }
+
+/// A new dispatcher whose clock is behind meets targets that know its predecessor's token.
+fn fenced() -> Fenced {
+    Fenced { age: ms(50), since_raise: None, was_accepted: false }
+}
+
+#[test]
+fn fenced_young_dispatcher_raises_its_token() {
+    assert_eq!(fenced().decide(), FencedDecision::Raise);
+    let again = |since| Fenced { since_raise: Some(since), ..fenced() }.decide();
+    assert_eq!(again(ms(20)), FencedDecision::Ignore);
+    assert_eq!(again(ms(70)), FencedDecision::Raise);
+}
+
+#[test]
+fn fenced_old_dispatcher_steps_down() {
+    assert_eq!(Fenced { age: ms(2_500), ..fenced() }.decide(), FencedDecision::StepDown);
+}
+
+/// Two dispatchers elected within two seconds raised their tokens in turn for a second, and tasks
+/// ran twice.
+#[test]
+fn fenced_where_its_token_was_accepted_steps_down() {
+    let owner = Fenced { was_accepted: true, ..fenced() };
+    assert_eq!(owner.decide(), FencedDecision::StepDown);
+    let raised = |since| Fenced { since_raise: Some(since), ..owner }.decide();
+    assert_eq!(raised(ms(100)), FencedDecision::Ignore, "the request may be older than the raise");
+    assert_eq!(raised(ms(200)), FencedDecision::StepDown);
+}
