--- a/src/bin/cranberrytray-stand.rs
+++ b/src/bin/cranberrytray-stand.rs
@@ -14,7 +14,7 @@
 use std::{io, net::SocketAddr, path::PathBuf, sync::Arc};
 use tokio::net::TcpListener;
 
-/// Why a fake can't run.
+/// Error that keeps a fake from running.
 #[derive(Debug, Display, Error, From, Diagnostic)]
 enum FakeError {
     /// A file can't be read, or an address can't be listened on.
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -27,7 +27,7 @@
 use serde::Serialize;
 use std::{io, net::SocketAddr, process::ExitCode};
 
-/// Why a subcommand failed.
+/// Error of a subcommand.
 #[derive(Debug, Display, Error, From, Diagnostic)]
 pub enum CmdError {
     /// No entry VM answered a caller's request.
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -36,7 +36,7 @@
     pub target: Option<TargetId>,
     /// Target on which its last run that failed or stood still was.
     pub failed_on: Option<TargetId>,
-    /// Whether a run of it succeeded.
+    /// True once a run of the task has succeeded.
     pub done: bool,
     /// Whether a run of it was stopped as a straggler; at most one per task is.
     pub restarted: bool,
--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -120,7 +120,7 @@
     Abandoned {
         /// The job.
         job: JobLabel,
-        /// Why the job was abandoned.
+        /// Reason for which the job was abandoned.
         reason: &'static str,
         /// Time since the job was submitted.
         age: Duration,
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -129,7 +129,7 @@
     pub address: SocketAddr,
     /// Reported spare CPU, minus the CPU that jobs redirected there since then need.
     pub spare: SpareCpu,
-    /// When the report arrived.
+    /// Moment at which the report arrived.
     pub updated_at: Moment,
 }
 
@@ -147,7 +147,7 @@
 /// Sort key of the queue, most urgent job first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
-    /// Set for jobs that come after those with a hard deadline that have begun.
+    /// False for begun jobs with a hard deadline, which come before all others.
     yields_to_begun: bool,
     priority: crate::state::fleet_config::Priority,
     key: SubmissionKey,
--- a/src/coordination/scheduler.rs
+++ b/src/coordination/scheduler.rs
@@ -54,7 +54,7 @@
     pub worker: WorkerName,
     /// Owner of the slot that it uses.
     pub slot: Slot,
-    /// When the task was assigned.
+    /// Moment at which the task was assigned.
     pub started_at: Moment,
     job_type: JobType,
     queued: QueuedTask,
--- a/src/state/loan.rs
+++ b/src/state/loan.rs
@@ -192,7 +192,7 @@
         self.loans.values().map(|loan| loan.slots).sum()
     }
 
-    /// Whether no slot is borrowed.
+    /// Returns true if no slot is borrowed.
     pub fn is_empty(&self) -> bool {
         self.loans.is_empty()
     }
--- a/src/state/queue.rs
+++ b/src/state/queue.rs
@@ -107,7 +107,7 @@
         self.tasks
     }
 
-    /// Whether no task is queued.
+    /// Returns true if no task is queued.
     pub fn is_empty(&self) -> bool {
         self.tasks == 0
     }
