Log the outlook of abandoned jobs, and completed jobs with hard deadlines

On-call engineers could not tell a job that no target could have ended in time from one that was abandoned too soon. Lines on abandoned jobs now end with the time left, the run time on the fastest target, and the spare CPU of fast targets here and in other zones; jobs shed for their waiting tasks have another reason than those shed for their running tasks. No decision is changed: shedding asks the same two questions one after the other.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -372,18 +372,23 @@
         let mut forecast = self.forecast(now);
         let ranks: Vec<Rank> = self.queued_jobs.iter().copied().collect();
         for rank in ranks {
-            let mut with_job = forecast.clone();
-            let end = self.schedule_job(&mut with_job, rank.key, now);
             let Some(job) = self.jobs.get(&rank.key) else { continue };
-            if end.is_some_and(|end| end + ANSWER_LATENCY <= job.latest_end()) {
-                forecast = with_job;
+            let mut with_job = forecast.clone();
+            let waiting_end = self.schedule_waiting(&mut with_job, job, now);
+            let is_in_time = |end: Moment| end + ANSWER_LATENCY <= job.latest_end();
+            if waiting_end.is_some_and(is_in_time) {
+                if self.running_end(rank.key).is_none_or(is_in_time) {
+                    forecast = with_job;
+                } else {
+                    self.abandon_job(rank.key, "its running tasks would end after its deadline");
+                }
                 continue;
             }
-            let expected = end.map_or(Duration::ZERO, |end| end - now);
             if job.start_sent {
-                self.abandon_job(rank.key, "its deadline can no longer be met");
+                self.abandon_job(rank.key, "its waiting tasks would end after its deadline");
                 continue;
             }
+            let expected = waiting_end.map_or(Duration::ZERO, |end| end - now);
             let retry_after = retry_after(expected);
             let refusal = Refusal::TooLate;
             let (label, age) = (JobLabel::from(&job.submission), now - job.arrived_at);
--- a/src/coordination/dispatch/forecast.rs
+++ b/src/coordination/dispatch/forecast.rs
@@ -103,29 +103,22 @@
             if rank.is_some_and(|rank| *other > rank) {
                 return;
             }
-            self.schedule_job(forecast, other.key, now);
+            if let Some(job) = self.jobs.get(&other.key) {
+                self.schedule_waiting(forecast, job, now);
+            }
         }
     }
 
-    /// Assigns the waiting tasks of one job to slots. Returns the moment at which the job is expected
-    /// to end, or `None` if none of its tasks waits or there are no slots.
-    pub(super) fn schedule_job(
-        &self,
-        forecast: &mut Forecast,
-        key: SubmissionKey,
-        now: Moment,
-    ) -> Option<Moment> {
+    /// Returns the moment at which the running tasks of a job and the steps after them are expected
+    /// to end, or `None` if no task of it runs.
+    pub(super) fn running_end(&self, key: SubmissionKey) -> Option<Moment> {
         let job = self.jobs.get(&key)?;
-        if job.waiting_tasks.is_empty() {
-            return None;
-        }
-        let waiting_end = self.schedule_waiting(forecast, job, now)?;
         let running = job.tasks.iter().filter_map(|(id, task)| Some((id, task.target.as_ref()?)));
-        let running_end = running.filter_map(|(id, target)| {
+        let ends = running.filter_map(|(id, target)| {
             let run = self.targets.get(target)?.runs.get(id)?;
             (run.job == Some(key.0)).then(|| run.expected_end + job.chain_after(*id))
         });
-        Some(running_end.max().map_or(waiting_end, |end| end.max(waiting_end)))
+        ends.max()
     }
 
     /// Assigns the waiting tasks of a job to slots. Returns the moment at which they and the steps
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -1,6 +1,6 @@
 //! An admitted job and the state of its tasks.
 
-use super::{Dispatcher, JobLabel, LogEvent, Rank, SubmissionKey};
+use super::{Dispatcher, JobLabel, LogEvent, Outlook, Rank, SubmissionKey};
 use crate::{
     coordination::dispatch::Action,
     state::{
@@ -227,13 +227,15 @@
         self.queued_jobs.remove(&rank);
         let Some(job) = self.jobs.swap_remove(&key) else { return };
         let now = self.last_call_at;
-        if outcome == Outcome::Completed && now > job.objective {
-            self.log(LogEvent::CompletedLate {
-                job: JobLabel::from(&job.submission),
-                age: now - job.arrived_at,
-                late_by: now - job.objective,
-                scale: job.run_time_ratio(),
-            });
+        if outcome == Outcome::Completed {
+            let label = JobLabel::from(&job.submission);
+            let (age, scale) = (now - job.arrived_at, job.run_time_ratio());
+            if now > job.objective {
+                let late_by = now - job.objective;
+                self.log(LogEvent::CompletedLate { job: label, age, late_by, scale });
+            } else if job.has_hard_deadline() {
+                self.log(LogEvent::Completed { job: label, age, scale });
+            }
         }
         let id = job.submission.id;
         self.keys_by_job_id.swap_remove(&id);
@@ -270,7 +272,22 @@
         let waiting = job.waiting_tasks.len();
         let running = job.tasks.values().filter(|t| t.target.is_some()).count();
         let scale = job.run_time_ratio();
-        self.log(LogEvent::Abandoned { job: label, reason, age, waiting, running, scale });
+        let outlook = self.outlook(key, job);
+        self.log(LogEvent::Abandoned { job: label, reason, age, waiting, running, scale, outlook });
         self.finish_job(key, outcome);
     }
+
+    fn outlook(&self, key: SubmissionKey, job: &Job) -> Outlook {
+        let now = self.last_call_at;
+        let unfinished = job.tasks.iter().filter(|(_, task)| !task.done);
+        let steps = unfinished.filter_map(|(id, _)| job.step(*id));
+        let fastest = steps.filter_map(|step| self.min_run_time(key, step, now)).max();
+        let remote_fast = self.remote_zones.values().map(|zone| zone.spare.fast_millicores).max();
+        Outlook {
+            left: job.deadline - now,
+            fastest: fastest.unwrap_or_default(),
+            spare: self.spare_cpu(now),
+            remote_fast: remote_fast.unwrap_or_default(),
+        }
+    }
 }
--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -37,6 +37,24 @@
     }
 }
 
+/// What a dispatcher knows of the chance that a job ends in time.
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
+#[display(
+    "left={left:?} fastest={fastest:?} here fast={}m elsewhere fast={remote_fast}m",
+    spare.fast_millicores
+)]
+pub struct Outlook {
+    /// Time until the deadline of the job.
+    pub left: Duration,
+    /// Expected run time of its longest unfinished step's tasks on the fastest usable target, free
+    /// or not; zero if there is none.
+    pub fastest: Duration,
+    /// Spare CPU of this zone.
+    pub spare: SpareCpu,
+    /// Most spare CPU on fast targets that another zone has reported, in thousandths of a core.
+    pub remote_fast: u64,
+}
+
 /// A decision or a change of state, written to the log by the driver.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LogEvent {
@@ -130,6 +148,17 @@
         running: usize,
         /// Run time of its tasks relative to what was expected.
         scale: f64,
+        /// Its chance to end in time if it were not abandoned.
+        outlook: Outlook,
+    },
+    /// A job with a hard deadline was completed in time.
+    Completed {
+        /// The job.
+        job: JobLabel,
+        /// Time since the job was submitted.
+        age: Duration,
+        /// Run time of its tasks relative to what was expected.
+        scale: f64,
     },
     /// A job was completed after its latency objective.
     CompletedLate {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -32,7 +32,7 @@
 use derive_more::{Add, Display};
 use indexmap::{IndexMap, IndexSet};
 use job::Job;
-pub use log_event::{JobLabel, LogEvent};
+pub use log_event::{JobLabel, LogEvent, Outlook};
 use ownership::TargetListStatus;
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 use timing::Timing;
--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -56,6 +56,7 @@
         LogEvent::Straggler { .. } => "straggler",
         LogEvent::SlowRun { .. } => "slow run",
         LogEvent::Abandoned { .. } => "gave up",
+        LogEvent::Completed { .. } => "completed",
         LogEvent::CompletedLate { .. } => "late",
         LogEvent::Ejected { .. } => "set aside",
         LogEvent::TargetStateChanged { .. } => "target",
@@ -96,12 +97,15 @@
         LogEvent::SlowRun { task, target, ratio } => {
             log::info!("dispatch: {task} on {target} takes {ratio:.1} times the expected run time");
         }
-        LogEvent::Abandoned { job, reason, age, waiting, running, scale } => {
+        LogEvent::Abandoned { job, reason, age, waiting, running, scale, outlook } => {
             log::info!(
                 "dispatch: job {job} abandoned: {reason}, age={age:?} waiting={waiting} \
-                 running={running} scale={scale:.2}"
+                 running={running} scale={scale:.2} {outlook}"
             );
         }
+        LogEvent::Completed { job, age, scale } => {
+            log::info!("dispatch: job {job} completed, age={age:?} scale={scale:.2}");
+        }
         LogEvent::CompletedLate { job, age, late_by, scale } => {
             log::info!(
                 "dispatch: job {job} completed late, age={age:?} late_by={late_by:?} scale={scale:.2}"
--- /dev/null
+++ b/tests/dispatch/large_jobs.rs
@@ -0,0 +1,34 @@
+//! Large jobs with a hard deadline, of which the largest were served least: bursts of them on targets of
+//! uneven speed, with run times that turn out longer than declared.
+
+use crate::simulation::{LONG, Simulation, ms, submission};
+use cranberrytray::{
+    coordination::dispatch::{LogEvent, SpareCpu},
+    state::job_submission::{JobSubmission, Outcome},
+};
+
+/// A job of `count` long tasks that take `actual_ms` in place of `declared_ms`.
+fn longer_than_declared(id: u64, count: u32, declared_ms: u64, actual_ms: u64) -> JobSubmission {
+    let declared = submission(id, LONG, count, ms(declared_ms));
+    JobSubmission { spec: actual_ms.to_string().into(), ..declared }
+}
+
+/// Abandoned jobs looked the same in the log, whether a target could still have ended them in time
+/// or not.
+#[test]
+fn abandoned_job_logs_its_outlook() {
+    let mut sim = Simulation::with_speeds(&[2.0, 0.8]);
+    let spare = SpareCpu { total_millicores: 64_000, fast_millicores: 28_000 };
+    let address = ([127, 0, 0, 1], 9_999).into();
+    sim.dispatcher.update_remote_zone("other".parse().unwrap(), address, spare, sim.now);
+    let key = sim.submit(longer_than_declared(1, 4, 300, 4_000));
+    sim.run(ms(1_000));
+    assert_eq!(sim.outcome(key), Some(Outcome::Unknown));
+    let outlook = sim.log.iter().find_map(|(_, event)| match event {
+        LogEvent::Abandoned { outlook, .. } => Some(*outlook),
+        _ => None,
+    });
+    let outlook = outlook.expect("the job was abandoned");
+    assert_eq!(outlook.remote_fast, 28_000);
+    assert!(outlook.left > ms(500) && outlook.fastest > outlook.left, "{outlook}");
+}
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod bounds;
 mod fake_target;
 mod faulty_targets;
+mod large_jobs;
 mod load;
 mod malformed;
 mod ownership;
