--- a/tests/dispatch/large_jobs.rs
+++ b/tests/dispatch/large_jobs.rs
@@ -48,3 +48,26 @@
     assert_eq!(sim.outcome(key), Some(Outcome::Completed));
     assert_eq!(sim.duplicate_runs, []);
 }
+
+/// Guards against run times that are predicted too short for kinds of jobs that run on fast targets, since
+/// these were learned from as if they were of usual speed. Large jobs of such a kind were then
+/// started on slower targets, which could not end them before their deadline.
+#[test]
+fn run_times_of_long_jobs_are_learned_apart_from_fast_targets() {
+    let mut sim = Simulation::with_speeds(&[1.4, 1.0, 1.0, 1.0]);
+    for id in 0..60 {
+        sim.submit(submission(10_000 + id, URGENT, 4, ms(60)));
+        sim.submit(submission(20_000 + id, LONG, 1, ms(900)));
+        sim.run(ms(500));
+    }
+    assert_eq!(sim.target(0).starts.iter().filter(|(task, _)| task.job.0 >= 20_000).count(), 60);
+    sim.log.clear();
+    // More tasks than the fast target has room for: the others take 0.9 s.
+    sim.submit(submission(1, LONG, 6, ms(900)));
+    let expected = sim.log.iter().find_map(|(_, event)| match event {
+        LogEvent::Admitted { expected, .. } => Some(*expected),
+        _ => None,
+    });
+    let expected = expected.expect("the job was admitted");
+    assert!(expected >= ms(800) && expected <= ms(1_000), "{expected:?}");
+}
