Revert learning run times apart from the speed of targets

Evidence for the cause: thousands of fast cores were free while tasks ran on targets that were believed faster than they are. Suspected: with 117 targets in a zone most have few runs and keep the initial slowness of 1, which is the median then, and nothing holds the run times of queues and the slowness of the targets in use against a common drift any more.

--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -5,13 +5,12 @@
     replies::MIN_PROGRESS_PERCENT,
 };
 use crate::state::{
-    fleet_config::Label,
     job_submission::{Outcome, RunNumber, TaskId},
     mechanism::Mechanism,
     target::{Run, RunOutcome, RunState, TargetId},
     time::Moment,
 };
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 /// Added to the request timeout; the sum is the time after which an unconfirmed stop is repeated.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -318,7 +317,7 @@
         let queue = &job.submission.queue;
         let declared = self.declared_ms(step.declared);
         let slowness =
-            self.kind_slowness(&target.info.kind) * target.slowness.min(MAX_TYPICAL_SLOWNESS);
+            self.kind_slowness(&target.info.kind) * target.slowness.min(*TYPICAL_SLOWNESS.end());
         let expected = self.run_times.expected_seconds(queue, declared) * slowness;
         let is_usual_known = self.run_times.observations(queue) >= MIN_QUEUE_OBSERVATIONS
             && self.run_times.worker_observations(&target.info.kind) >= MIN_KIND_OBSERVATIONS;
@@ -366,23 +365,11 @@
         if learns_slowness {
             target.slowness = next_slowness(target.slowness, took / expected.max(1e-3), weight);
         }
-        if target.slowness <= MAX_TYPICAL_SLOWNESS {
-            let relative_slowness = target.slowness / self.median_slowness(&kind);
-            self.run_times.observe(queue, declared, &kind, took / relative_slowness);
+        if TYPICAL_SLOWNESS.contains(&target.slowness) {
+            self.run_times.observe(queue, declared, &kind, took);
             self.run_times.normalize();
         }
     }
-
-    /// Median slowness of the targets of a kind, on which outliers have no effect.
-    fn median_slowness(&self, kind: &Label) -> f64 {
-        let of_kind = self.targets.values().filter(|target| target.info.kind == *kind);
-        let mut slowness: Vec<f64> = of_kind.map(|target| target.slowness).collect();
-        if slowness.is_empty() {
-            return 1.0;
-        }
-        let middle = slowness.len() / 2;
-        *slowness.select_nth_unstable_by(middle, f64::total_cmp).1
-    }
 }
 
 /// A run that takes this many times as long as expected counts as a fault of its target. Fewer than
@@ -394,9 +381,9 @@
 const MIN_QUEUE_OBSERVATIONS: f64 = 30.0;
 /// Number of runs on a kind of target after which its slowness is known well enough for that.
 const MIN_KIND_OBSERVATIONS: u64 = 100;
-/// Largest slowness of targets that the estimates of queues and kinds are learned from; others are
+/// Range of the slowness of targets that their kind's estimate is learned from; others are
 /// outliers.
-const MAX_TYPICAL_SLOWNESS: f64 = 1.7;
+const TYPICAL_SLOWNESS: RangeInclusive<f64> = 0.6..=1.7;
 /// Least weight of a run in the slowness estimate of its target.
 const SLOWNESS_WEIGHT: f64 = 0.08;
 /// Number of runs that the initial slowness of a target, 1, counts as. The first runs observed
