--- a/tests/dispatch/large_jobs.rs
+++ b/tests/dispatch/large_jobs.rs
@@ -49,9 +49,9 @@
     assert_eq!(sim.duplicate_runs, []);
 }
 
-/// Guards against run times that are predicted too short for kinds of jobs that run on fast targets, since
-/// these were learned from as if they were of usual speed. Large jobs of such a kind were then
-/// started on slower targets, which could not end them before their deadline.
+/// Guards against run times that are predicted too short for long jobs. They run on fast targets where they
+/// can, and their run times are learned as if these were of usual speed, so that slower targets
+/// seem to end such jobs in time.
 #[test]
 #[ignore = "fails, listed in KNOWN-RED.txt as 8"]
 fn run_times_of_long_jobs_are_learned_apart_from_fast_targets() {
