Log why runs are lost, and what fails where a target is unresponsive

Cause: the log could not tell a crash from a cut link or an expired lease; runs whose job was gone had no line at all, so most runs on crashed targets had none. Lost runs now carry their reason and age, and unresponsive targets what fails, how many runs they have and how young the last is.

--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -5,7 +5,7 @@
     fleet_config::QueueName,
     id::ZoneName,
     job_submission::{CallerJobId, JobSubmission, Refusal, RunNumber, Step, TaskId},
-    target::TargetId,
+    target::{RunOutcome, TargetId},
 };
 use derive_more::Display;
 use std::time::Duration;
@@ -106,7 +106,7 @@
         /// Time since the first request.
         waited: Duration,
     },
-    /// A run of an open job was closed without success.
+    /// A run of an open job was closed without success, or any run was lost.
     RunEnded {
         /// Task of the run.
         task: TaskId,
@@ -114,8 +114,12 @@
         run: RunNumber,
         /// Target of the run.
         target: TargetId,
-        /// How the run ended: `failed`, `stopped` or `lost`.
-        how: &'static str,
+        /// How the run ended.
+        outcome: RunOutcome,
+        /// Time since its start was sent.
+        age: Duration,
+        /// Whether its job is still open.
+        has_job: bool,
     },
     /// A run was stopped because it was far behind its expected end or would end too late.
     Straggler {
@@ -179,6 +183,17 @@
         /// Duration of the ejection.
         pause: Duration,
     },
+    /// A target does not answer; no task is started there until it does.
+    Unresponsive {
+        /// The target.
+        target: TargetId,
+        /// What fails.
+        reason: &'static str,
+        /// Number of runs that may exist on it.
+        runs: usize,
+        /// Time since the start of the last of them was sent; `None` if there is none.
+        youngest: Option<Duration>,
+    },
     /// The state of a target has changed.
     TargetStateChanged {
         /// Target whose state has changed.
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -4,8 +4,8 @@
 use crate::state::{
     mechanism::Mechanism,
     target::{
-        FencingToken, OutlierState, RunOutcome, RunState, Target, TargetId, TargetIncarnation,
-        TargetInfo, TargetTime,
+        FencingToken, LossCause, OutlierState, RunOutcome, RunState, Target, TargetId,
+        TargetIncarnation, TargetInfo, TargetTime,
     },
     time::Moment,
 };
@@ -126,11 +126,11 @@
     }
 
     /// Closes all runs of a target as lost.
-    pub(super) fn close_all_runs(&mut self, id: &TargetId, now: Moment) {
+    pub(super) fn close_all_runs(&mut self, id: &TargetId, cause: LossCause, now: Moment) {
         let Some(target) = self.targets.get(id) else { return };
         let runs: Vec<_> = target.runs.iter().map(|(task, run)| (*task, run.number)).collect();
         for (task, number) in runs {
-            self.close_run(task, number, id, RunOutcome::Lost, now);
+            self.close_run(task, number, id, RunOutcome::Lost(cause), now);
         }
     }
 
@@ -215,7 +215,7 @@
                 target: id.clone(),
                 state: "past the end of its leases",
             });
-            self.close_all_runs(&id, now);
+            self.close_all_runs(&id, LossCause::Expired, now);
         }
         let is_removable = |t: &&Target| !t.listed && t.runs.is_empty();
         let removable: Vec<TargetId> =
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -276,6 +276,7 @@
             number,
             job: Some(key.0),
             needs: step.needs,
+            incarnation: target.info.incarnation,
             state: RunState::Starting,
             start_sent_at: now,
             start_attempts: 1,
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -4,7 +4,9 @@
 use crate::state::{
     job_submission::{RunNumber, TaskId},
     mechanism::Mechanism,
-    target::{ClockReading, Run, RunOutcome, RunState, TargetId, TargetReport, TargetTime},
+    target::{
+        ClockReading, LossCause, Run, RunOutcome, RunState, TargetId, TargetReport, TargetTime,
+    },
     time::Moment,
 };
 use std::time::Duration;
@@ -81,6 +83,8 @@
     NoAnswer,
 }
 
+/// Reason for which a target is unresponsive that can't be connected to.
+const CONNECTIONS_FAIL: &str = "connections fail";
 /// Shortest time since the start of a run after which a lack of progress shows that it stands still.
 const MIN_STALL_TIME: Duration = Duration::from_millis(100);
 /// Assumed age of the progress in a report.
@@ -139,7 +143,7 @@
                 self.stop_run(task, id, now);
             }
             StartReply::NotSent => {
-                self.mark_unresponsive(id, now);
+                self.mark_unresponsive(id, CONNECTIONS_FAIL, now);
                 self.close_run(task, number, id, RunOutcome::Stopped, now);
             }
             StartReply::Refused(refusal, _) => {
@@ -253,7 +257,9 @@
             Ok(report) => self.on_report(id, sent, report, now),
             Err(LeaseRenewalError::Fenced) => self.on_fenced(id),
             Err(LeaseRenewalError::OtherTarget) => self.on_other_target(id, now),
-            Err(LeaseRenewalError::Unreachable) => self.mark_unresponsive(id, now),
+            Err(LeaseRenewalError::Unreachable) => {
+                self.mark_unresponsive(id, CONNECTIONS_FAIL, now);
+            }
             Err(LeaseRenewalError::NoAnswer) => self.on_missed_answer(id, now),
         }
         self.start_waiting_tasks(now);
@@ -318,7 +324,10 @@
             .filter(|(task, run)| !is_reported(task, run.number))
             .filter_map(|(task, run)| match run.state {
                 RunState::Running { since } if since < sent => {
-                    Some((*task, run.number, RunOutcome::Lost))
+                    let is_restarted = run.incarnation < target.info.incarnation;
+                    let cause =
+                        if is_restarted { LossCause::Restarted } else { LossCause::Forgotten };
+                    Some((*task, run.number, RunOutcome::Lost(cause)))
                 }
                 RunState::Stopping { ends_by: Some(at), .. } if at < sent => {
                     Some((*task, run.number, RunOutcome::Stopped))
@@ -383,24 +392,26 @@
         let Some(target) = self.targets.get_mut(id) else { return };
         target.missed_answers += 1;
         if target.missed_answers >= MAX_MISSED_ANSWERS {
-            self.mark_unresponsive(id, now);
+            self.mark_unresponsive(id, "requests are not answered", now);
         }
     }
 
     /// Marks a target as unresponsive; no task is started there until it answers.
-    fn mark_unresponsive(&mut self, id: &TargetId, now: Moment) {
+    fn mark_unresponsive(&mut self, id: &TargetId, reason: &'static str, now: Moment) {
         let Some(target) = self.targets.get_mut(id) else { return };
         if target.unresponsive_since.is_none() {
             target.unresponsive_since = Some(now);
-            self.log(LogEvent::TargetStateChanged { target: id.clone(), state: "unresponsive" });
+            let runs = target.runs.len();
+            let youngest = target.runs.values().map(|run| now - run.start_sent_at).min();
+            self.log(LogEvent::Unresponsive { target: id.clone(), reason, runs, youngest });
         }
     }
 
     /// Closes all runs of a target whose address belongs to another target now; the list will have
     /// that one.
     fn on_other_target(&mut self, id: &TargetId, now: Moment) {
-        self.mark_unresponsive(id, now);
-        self.close_all_runs(id, now);
+        self.mark_unresponsive(id, "another target serves at its address", now);
+        self.close_all_runs(id, LossCause::Replaced, now);
     }
 }
 
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -213,16 +213,19 @@
         else {
             return;
         };
-        if outcome == RunOutcome::Lost {
+        let is_lost = matches!(outcome, RunOutcome::Lost(_));
+        if is_lost {
             self.counts.lost_runs += 1;
         }
-        if outcome != RunOutcome::Done && run.job.is_some() {
-            let how = match outcome {
-                RunOutcome::Failed => "failed",
-                RunOutcome::Stopped => "stopped",
-                _ => "lost",
-            };
-            self.log(LogEvent::RunEnded { task, run: number, target: target_id.clone(), how });
+        if is_lost || outcome != RunOutcome::Done && run.job.is_some() {
+            self.log(LogEvent::RunEnded {
+                task,
+                run: number,
+                target: target_id.clone(),
+                outcome,
+                age: now - run.start_sent_at,
+                has_job: run.job.is_some(),
+            });
         }
         match run.job {
             None => self.close_orphaned_run(task, now),
--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -59,6 +59,7 @@
         LogEvent::Completed { .. } => "completed",
         LogEvent::CompletedLate { .. } => "late",
         LogEvent::Ejected { .. } => "set aside",
+        LogEvent::Unresponsive { .. } => "unresponsive",
         LogEvent::TargetStateChanged { .. } => "target",
         LogEvent::Suspended { .. } => "woke",
     }
@@ -88,8 +89,17 @@
         LogEvent::StartResent { task, target, waited } => {
             log::info!("dispatch: start of {task} on {target} sent again after {waited:?}");
         }
-        LogEvent::RunEnded { task, run, target, how } => {
-            log::info!("dispatch: run {run} of {task} on {target} ended: {how}");
+        LogEvent::RunEnded { task, run, target, outcome, age, has_job } => {
+            let note = if *has_job { "" } else { ", its job is closed" };
+            log::info!(
+                "dispatch: run {run} of {task} on {target} ended after {age:?}: {outcome}{note}"
+            );
+        }
+        LogEvent::Unresponsive { target, reason, runs, youngest } => {
+            let youngest = youngest.map_or("none".into(), |age| format!("{age:?}"));
+            log::info!(
+                "targets: {target} is unresponsive: {reason}, runs={runs} youngest={youngest}"
+            );
         }
         LogEvent::Straggler { task, target, after } => {
             log::info!("dispatch: {task} on {target} is a straggler after {after:?}, restarted");
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -99,9 +99,30 @@
     /// The run was stopped on request, or was never started.
     #[display("stopped")]
     Stopped,
-    /// The lease expired, or the run ended for another reason that is no fault of the task.
-    #[display("lost")]
-    Lost,
+    /// The run is gone without a result.
+    #[display("lost: {_0}")]
+    Lost(LossCause),
+}
+
+/// Why a run is gone without a result.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum LossCause {
+    /// The target reports that the lease expired, or that the run ended for another reason that is
+    /// no fault of the task.
+    #[display("reported by its target")]
+    Reported,
+    /// The target was restarted.
+    #[display("its target was restarted")]
+    Restarted,
+    /// The target answers, but no longer has the run.
+    #[display("its target has forgotten it")]
+    Forgotten,
+    /// The lease has expired, and the target did not answer since.
+    #[display("its lease expired without an answer")]
+    Expired,
+    /// Another target serves at the address.
+    #[display("another target serves at its address")]
+    Replaced,
 }
 
 /// A run that a target reports as ended.
@@ -172,6 +193,8 @@
     pub job: Option<u64>,
     /// Resources that the run occupies on the target.
     pub needs: Resources,
+    /// Incarnation of the target that the run was started on.
+    pub incarnation: TargetIncarnation,
     /// State of the run.
     pub state: RunState,
     /// Time at which the last start request was sent.
--- a/tests/dispatch/fake_target.rs
+++ b/tests/dispatch/fake_target.rs
@@ -4,7 +4,8 @@
 use cranberrytray::state::{
     job_submission::{RunNumber, TaskId},
     target::{
-        EndedRun, FencingToken, RunOutcome, RunningRun, TargetIncarnation, TargetReport, TargetTime,
+        EndedRun, FencingToken, LossCause, RunOutcome, RunningRun, TargetIncarnation, TargetReport,
+        TargetTime,
     },
     time::Moment,
 };
@@ -152,7 +153,7 @@
             let run = self.runs.swap_remove(&task).unwrap();
             self.end_count += 1;
             let done = run.ends_at.is_some_and(|end| end <= now);
-            let outcome = if done { run.outcome } else { RunOutcome::Lost };
+            let outcome = if done { run.outcome } else { RunOutcome::Lost(LossCause::Reported) };
             self.ended.push(EndedRun { sequence: self.end_count, task, run: run.number, outcome });
         }
     }
