Give up tasks under which targets crash, and keep suspects apart

Callers that wait 15 s got a third of their jobs served while a tenth of one queue's jobs crashed targets: one task crashed up to five of them, and runs that shared the targets were lost again and again. Cause: only runs that end as failed counted against a task; a lost one was started again at once, next to others, without limit.

A loss of a target is now recorded under the tasks that ran there, and outlives their job. It counts as a crash once the target is back as a new incarnation, another target serves at its address, or the platform's list lacks it for 2.5 s; it is withdrawn if the same incarnation answers. A task is given up, and its job answered as failed, after two crashes if it was once the last one started, after three otherwise, and waits while that is undecided. Suspects run one on a target, prefer empty ones, and no other task joins them. The last started ones draw on a budget: a crash costs a token, which comes back with time or if the suspect ends.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -156,6 +156,9 @@
         now: Moment,
     ) {
         let Some(&key) = keys.first() else { return };
+        if self.fail_if_proven(&keys, &submission) {
+            return;
+        }
         let Some(queue) = self.config.queue(&submission.queue).cloned() else {
             return self.refuse(
                 &keys,
--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -139,6 +139,15 @@
         /// Run time relative to what is expected on this target.
         ratio: f64,
     },
+    /// A job failed because one of its tasks crashes its targets.
+    GivenUp {
+        /// The job.
+        job: JobLabel,
+        /// The task.
+        task: TaskId,
+        /// Time since the job was submitted.
+        age: Duration,
+    },
     /// A job was abandoned.
     Abandoned {
         /// The job.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -10,6 +10,7 @@
 //! driver takes with [`Dispatcher::take_actions`] and carries out.
 
 pub mod admission;
+pub mod crashes;
 pub mod forecast;
 pub mod job;
 pub mod log_event;
@@ -20,6 +21,7 @@
 pub mod timing;
 
 use crate::state::{
+    crash_history::CrashHistory,
     fleet_config::{FleetConfig, Label, QueueName},
     id::ZoneName,
     job_submission::{CallerJobId, JobSubmission, Outcome, RunNumber, TaskId},
@@ -28,6 +30,7 @@
     run_time::RunTimeEstimator,
     target::{FencingToken, Target, TargetId, TargetTime},
     time::Moment,
+    token_bucket::TokenBucket,
 };
 use derive_more::{Add, Display};
 use indexmap::{IndexMap, IndexSet};
@@ -176,6 +179,8 @@
     pub failed_runs: u64,
     /// Runs lost to an expired lease or a new incarnation of their target.
     pub lost_runs: u64,
+    /// Jobs that failed because one of their tasks crashes its targets.
+    pub crashing_jobs: u64,
     /// Runs stopped to be restarted elsewhere, because they were far behind or would end too late.
     pub stragglers: u64,
     /// Outlier ejections of targets.
@@ -204,6 +209,10 @@
     /// Submissions that wait until earlier runs of their tasks are closed.
     deferred: Vec<DeferredSubmission>,
     remote_zones: IndexMap<ZoneName, RemoteZone>,
+    /// Targets that were lost under tasks.
+    crash_history: CrashHistory,
+    /// Tokens for starts of tasks that are main suspects of a crash; a crash uses one up.
+    crash_tokens: TokenBucket,
     run_times: RunTimeEstimator<QueueName, Label>,
     /// Round-trip estimate of start requests.
     rtt: RttEstimator,
@@ -245,6 +254,8 @@
             orphaned_runs: IndexMap::new(),
             deferred: Vec::new(),
             remote_zones: IndexMap::new(),
+            crash_history: CrashHistory::default(),
+            crash_tokens: TokenBucket::new(0.0, 1.0),
             run_times: RunTimeEstimator::with_worker_weight(KIND_SLOWNESS_WEIGHT),
             rtt: RttEstimator::default(),
             renewal_loss_rate: 0.0,
@@ -360,6 +371,7 @@
     pub fn tick(&mut self, now: Moment) {
         self.check_suspension(now);
         self.expire_jobs(now);
+        self.expire_losses(now);
         self.shed_late_jobs(now);
         self.check_targets(now);
         self.check_runs(now);
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -4,8 +4,8 @@
 use crate::state::{
     mechanism::Mechanism,
     target::{
-        FencingToken, LossCause, OutlierState, RunOutcome, RunState, Target, TargetId,
-        TargetIncarnation, TargetInfo, TargetTime,
+        FencingToken, LossCause, OutlierState, RunState, Target, TargetId, TargetIncarnation,
+        TargetInfo, TargetTime,
     },
     time::Moment,
 };
@@ -93,6 +93,8 @@
     }
 
     fn update_target(&mut self, info: &TargetInfo, now: Moment) {
+        let resolved = self.crash_history.on_target_listed(&info.id, info.incarnation, now);
+        self.give_up_proven(&resolved);
         let Some(target) = self.targets.get_mut(&info.id) else {
             if self.handing_over || self.predecessor_targets.contains(&info.id) {
                 return;
@@ -129,9 +131,7 @@
     pub(super) fn close_all_runs(&mut self, id: &TargetId, cause: LossCause, now: Moment) {
         let Some(target) = self.targets.get(id) else { return };
         let runs: Vec<_> = target.runs.iter().map(|(task, run)| (*task, run.number)).collect();
-        for (task, number) in runs {
-            self.close_run(task, number, id, RunOutcome::Lost(cause), now);
-        }
+        self.close_lost_runs(id, &runs, cause, now);
     }
 
     /// Returns the next lease renewal to send to a target, or `None` if the target was forgotten.
@@ -222,6 +222,7 @@
             self.targets.values().filter(is_removable).map(|t| t.info.id.clone()).collect();
         for id in removable {
             self.targets.swap_remove(&id);
+            self.crash_history.on_target_gone(&id, now);
             self.log(LogEvent::TargetStateChanged { target: id, state: "gone" });
         }
     }
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -34,6 +34,8 @@
     in_time: bool,
     /// Free CPU after the start of the task, in thousandths of a core.
     cpu_left: u64,
+    /// Number of runs that a crash would take along, counted only if the task is a suspect.
+    runs_at_risk: usize,
 }
 
 impl Candidate {
@@ -42,14 +44,17 @@
     /// with the least CPU left (best fit).
     fn compare(&self, other: &Self) -> Ordering {
         let run_time = |c: &Self| c.run_time.as_millis() as i64 / 10;
-        let sort_key =
-            |c: &Self| (!c.in_time, if c.in_time { -run_time(c) } else { run_time(c) }, c.cpu_left);
+        let sort_key = |c: &Self| {
+            let by_run_time = if c.in_time { -run_time(c) } else { run_time(c) };
+            (c.runs_at_risk, !c.in_time, by_run_time, c.cpu_left)
+        };
         sort_key(self).cmp(&sort_key(other))
     }
 
     /// Orders the fastest candidate first.
     fn compare_run_time(&self, other: &Self) -> Ordering {
-        (self.run_time, self.cpu_left).cmp(&(other.run_time, other.cpu_left))
+        let sort_key = |c: &Self| (c.runs_at_risk, c.run_time, c.cpu_left);
+        sort_key(self).cmp(&sort_key(other))
     }
 }
 
@@ -95,14 +100,17 @@
     fn start_tasks_of(&mut self, key: SubmissionKey, now: Moment) -> bool {
         loop {
             let Some(job) = self.jobs.get(&key) else { return true };
-            let Some(&task) = job.waiting_tasks.front() else { break };
+            // Suspects that have to wait block neither their job nor others.
+            let startable = job.waiting_tasks.iter().position(|task| self.may_risk(*task, now));
+            let Some(position) = startable else { break };
+            let Some(&task) = job.waiting_tasks.get(position) else { break };
             let Some(step) = job.step(task).cloned() else { break };
             let Some(best) = self.best_target(key, task, &step, now) else {
                 self.update_queue(key);
                 return false;
             };
             if let Some(job) = self.jobs.get_mut(&key) {
-                job.waiting_tasks.pop_front();
+                job.waiting_tasks.remove(position);
             }
             self.start_run(key, task, &step, &best, now);
         }
@@ -133,12 +141,14 @@
             avoided != Some(&t.info.id)
                 && step.needs.fits_in(t.free_resources())
                 && self.is_eligible(job, step, t, now)
+                && !self.hosts_suspect(t)
                 && !t.runs.contains_key(&task)
                 && step
                     .most_per_target
                     .is_none_or(|most| job.running_on(task.step, &t.info.id) < most)
         };
         let safety_factor = self.safety_factor(job);
+        let is_suspect = self.is_suspect(task);
         let candidates = self.targets.values().filter(fits).filter_map(|t| {
             let mut run_time = self
                 .expected_run_time(&job.submission.queue, step, t)
@@ -151,7 +161,8 @@
             }
             let in_time = now + (run_time + chain_after).mul_f64(safety_factor) <= job.objective;
             let cpu_left = t.free_resources().saturating_sub(step.needs).cpu.0;
-            Some(Candidate { id: t.info.id.clone(), run_time, in_time, cpu_left })
+            let runs_at_risk = if is_suspect { t.runs.len() } else { 0 };
+            Some(Candidate { id: t.info.id.clone(), run_time, in_time, cpu_left, runs_at_risk })
         });
         let compare = if self.enables(Mechanism::SlowestInTime) {
             Candidate::compare
@@ -296,6 +307,7 @@
         }
         let target = &self.targets[&best.id];
         let request = self.run_request(target, task, number);
+        self.on_suspect_started(task, now);
         self.counts.starts += 1;
         self.actions.push(Action::Start { request, spec, lease_end: lease.end });
     }
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -289,12 +289,14 @@
         target.last_report_at = now;
         target.accepted_token = true;
         target.missed_answers = 0;
+        let incarnation = target.info.incarnation;
         if target.unresponsive_since.take().is_some() {
             self.log(LogEvent::TargetStateChanged {
                 target: id.clone(),
                 state: "responsive again",
             });
         }
+        self.resolve_losses(id, Some(incarnation), now);
         self.close_ended_runs(id, &report, now);
         self.reconcile_runs(id, sent, &report, now);
     }
@@ -329,27 +331,28 @@
         let is_reported = |task: &TaskId, number: RunNumber| {
             report.running.iter().any(|r| r.task == *task && r.run == number)
         };
-        let missing: Vec<_> = target
-            .runs
-            .iter()
-            .filter(|(task, run)| !is_reported(task, run.number))
-            .filter_map(|(task, run)| match run.state {
-                RunState::Running { since } if since < sent => {
-                    let is_restarted = run.incarnation < target.info.incarnation;
-                    let cause =
-                        if is_restarted { LossCause::Restarted } else { LossCause::Forgotten };
-                    Some((*task, run.number, RunOutcome::Lost(cause)))
+        let (mut forgotten, mut lost_in_restart, mut stopped) =
+            (Vec::new(), Vec::new(), Vec::new());
+        let missing = target.runs.iter().filter(|(task, run)| !is_reported(task, run.number));
+        for (task, run) in missing {
+            let is_restarted = run.incarnation < target.info.incarnation;
+            match run.state {
+                RunState::Running { since } if since < sent && is_restarted => {
+                    lost_in_restart.push((*task, run.number));
                 }
+                RunState::Running { since } if since < sent => forgotten.push((*task, run.number)),
                 RunState::Stopping { ends_by: Some(at), .. } if at < sent => {
-                    Some((*task, run.number, RunOutcome::Stopped))
+                    stopped.push((*task, run.number));
                 }
-                _ => None,
-            })
-            .collect();
+                _ => {}
+            }
+        }
         let has_no_foreign_runs = foreign_stops.is_empty();
         self.actions.extend(foreign_stops);
-        for (task, number, outcome) in missing {
-            self.close_run(task, number, id, outcome, now);
+        self.close_lost_runs(id, &lost_in_restart, LossCause::Restarted, now);
+        self.close_lost_runs(id, &forgotten, LossCause::Forgotten, now);
+        for (task, number) in stopped {
+            self.close_run(task, number, id, RunOutcome::Stopped, now);
         }
         let Some(target) = self.targets.get_mut(id) else { return };
         if has_no_foreign_runs && !target.taken_over && target.runs.is_empty() {
@@ -423,6 +426,7 @@
     fn on_other_target(&mut self, id: &TargetId, now: Moment) {
         self.mark_unresponsive(id, "another target serves at its address", now);
         self.close_all_runs(id, LossCause::Replaced, now);
+        self.resolve_losses(id, None, now);
     }
 }
 
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -213,6 +213,7 @@
         else {
             return;
         };
+        self.on_suspect_ended(task, outcome);
         let is_lost = matches!(outcome, RunOutcome::Lost(_));
         if is_lost {
             self.counts.lost_runs += 1;
--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -55,6 +55,7 @@
         LogEvent::RunEnded { .. } => "run ended",
         LogEvent::Straggler { .. } => "straggler",
         LogEvent::SlowRun { .. } => "slow run",
+        LogEvent::GivenUp { .. } => "crashes",
         LogEvent::Abandoned { .. } => "gave up",
         LogEvent::Completed { .. } => "completed",
         LogEvent::CompletedLate { .. } => "late",
@@ -107,6 +108,9 @@
         LogEvent::SlowRun { task, target, ratio } => {
             log::info!("dispatch: {task} on {target} takes {ratio:.1} times the expected run time");
         }
+        LogEvent::GivenUp { job, task, age } => {
+            log::warn!("dispatch: job {job} failed: its task {task} crashes targets, age={age:?}");
+        }
         LogEvent::Abandoned { job, reason, age, waiting, running, scale, outlook } => {
             let outlook = outlook.map_or_else(String::new, |outlook| format!(" {outlook}"));
             log::info!(
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -171,6 +171,7 @@
             "Runs lost, by a lease that ran out or with their target",
             counts.lost_runs,
         ),
+        ("crashing_jobs", "Jobs failed for a task that crashes targets", counts.crashing_jobs),
         ("stragglers", "Runs stopped to start again elsewhere", counts.stragglers),
         ("targets_set_aside", "Times that a target was set aside", counts.ejections),
         ("fenced", "Orders refused for a higher fencing token", counts.fenced_requests),
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -28,6 +28,8 @@
     StallDetection,
     /// A job is abandoned once a run of it can't end before the deadline, restarted or not.
     LateRunAbandonment,
+    /// Tasks under which targets crash are kept apart, and given up after a few crashes.
+    CrashHistory,
     /// A task with a hard deadline waits for the fastest target while it has slack.
     FastTargetWait,
     /// A task with a hard deadline waits for a busy target on which it would end sooner.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! Data structures without I/O: ids, jobs, queues, workers, targets, configuration and limits.
 
+pub mod crash_history;
 pub mod fleet_config;
 pub mod id;
 pub mod job;
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -125,6 +125,13 @@
     Replaced,
 }
 
+impl LossCause {
+    /// Whether the target may have crashed.
+    pub fn may_be_crash(self) -> bool {
+        matches!(self, LossCause::Expired | LossCause::Restarted | LossCause::Replaced)
+    }
+}
+
 /// A run that a target reports as ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndedRun {
--- a/src/state/token_bucket.rs
+++ b/src/state/token_bucket.rs
@@ -62,6 +62,12 @@
         true
     }
 
+    /// Whether [`TokenBucket::try_take`] would succeed.
+    pub fn has(mut self, now: Moment, tokens: f64) -> bool {
+        self.refill(now);
+        self.tokens >= tokens.min(self.capacity)
+    }
+
     /// Seconds from the last call of `try_take` until it would succeed.
     pub fn seconds_until(&self, tokens: f64) -> f64 {
         let missing = tokens.min(self.capacity) - self.tokens;
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -205,6 +205,11 @@
         self.answers.get(&key).map(|(outcome, _)| *outcome)
     }
 
+    /// Number of crashes of all targets so far.
+    pub fn crash_count(&self) -> u32 {
+        self.targets.values().map(|target| target.crash_count).sum()
+    }
+
     pub fn start_count(&self) -> usize {
         self.targets.values().map(|t| t.starts.len()).sum()
     }
