Wait for stopped runs before tasks start on targets without a guard

Cause: a target no longer reports a run that is being stopped, though the run occupies it until it has ended. A new dispatcher took such a target for empty and started tasks on top: 2 starts beyond the capacity in runs_that_are_stopped_at_takeover_count, which failed before. Where targets don't refuse, a takeover now ends the longest duration of a stop after the first report without foreign runs. Ruled out by a second test, which passed before: a capacity that shrinks and grows in the platform's list is kept to, runs that are being stopped included.

--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -154,7 +154,7 @@
         });
         let wait = match (target.taken_over, stopping) {
             _ if target.missed_answers > 0 => Duration::ZERO,
-            (false, _) => Duration::ZERO,
+            (false, _) => target.foreign_runs_end_by.map_or(Duration::ZERO, |end| end - now),
             (true, true) => renewal_wait / 6,
             // A lost answer delays the report of an ended run, so the answer is requested for the
             // time at which the next run is expected to end.
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -355,9 +355,18 @@
             self.close_run(task, number, id, RunOutcome::Stopped, now);
         }
         let Some(target) = self.targets.get_mut(id) else { return };
-        if has_no_foreign_runs && !target.taken_over && target.runs.is_empty() {
+        if !has_no_foreign_runs || target.taken_over || !target.runs.is_empty() {
+            return;
+        }
+        // Runs that are being stopped are not reported, but occupy the target until they end. Where
+        // it refuses tasks that don't fit, that needs no wait.
+        if !self.config.rejects_when_full(&target.info.pool) {
+            target.foreign_runs_end_by.get_or_insert(now + self.timing.stop);
+        }
+        if target.foreign_runs_end_by.is_none_or(|end| end <= now) {
             target.taken_over = true;
             target.taken_over_at = now;
+            target.foreign_runs_end_by = None;
             self.log(LogEvent::TargetStateChanged { target: id.clone(), state: "taken" });
         }
     }
--- a/src/state/fleet_config.rs
+++ b/src/state/fleet_config.rs
@@ -139,6 +139,12 @@
         matches.max_by_key(|q| q.prefix.len())
     }
 
+    /// Whether the targets of a pool refuse a task that exceeds their free resources; false if the
+    /// pool is not configured.
+    pub fn rejects_when_full(&self, pool: &PoolName) -> bool {
+        self.pools.iter().any(|p| p.name == *pool && p.rejects_when_full)
+    }
+
     /// Returns the queue with the given name.
     pub fn queue(&self, name: &QueueName) -> Option<&Queue> {
         self.queues.iter().find(|q| q.name == *name)
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -264,6 +264,8 @@
     pub taken_over: bool,
     /// Time at which the takeover was completed.
     pub taken_over_at: Moment,
+    /// Time by which the runs of an earlier dispatcher have ended, known once it reports none.
+    pub foreign_runs_end_by: Option<Moment>,
     /// Whether the target has answered a request with this dispatcher's fencing token.
     pub accepted_token: bool,
     /// Reading of the target's clock that is furthest ahead; `None` until one has arrived, or if
@@ -305,6 +307,7 @@
         Target {
             info,
             taken_over: false,
+            foreign_runs_end_by: None,
             taken_over_at: Moment::ZERO,
             accepted_token: false,
             clock: None,
--- a/tests/dispatch/fake_target.rs
+++ b/tests/dispatch/fake_target.rs
@@ -70,6 +70,12 @@
     pub renewal_count: u64,
     pub lost_starts: Vec<TaskId>,
     pub is_watched: bool,
+    /// CPU in thousandths of a core.
+    pub capacity: u64,
+    /// Whether the target refuses tasks that exceed its capacity.
+    pub is_guarded: bool,
+    /// Number of starts that brought it over its capacity.
+    pub overcommitted_starts: u32,
     /// Moment at which a task crashes the target.
     pub crash_at: Option<Moment>,
     /// Number of crashes so far.
@@ -98,6 +104,9 @@
             renewal_count: 0,
             lost_starts: Vec::new(),
             is_watched: false,
+            capacity: 32_000,
+            is_guarded: true,
+            overcommitted_starts: 0,
             crash_at: None,
             crash_count: 0,
             down_until: Moment::ZERO,
@@ -125,6 +134,9 @@
             is_watched: self.is_watched,
             next_renewal: self.next_renewal,
             starts: std::mem::take(&mut self.starts),
+            capacity: self.capacity,
+            is_guarded: self.is_guarded,
+            overcommitted_starts: self.overcommitted_starts,
             crash_count: self.crash_count,
             ..FakeTarget::default()
         };
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a zone's dispatcher with fake targets, in virtual time and without a network.
 
 mod bounds;
+mod capacity;
 mod crashing_tasks;
 mod fake_target;
 mod faulty_targets;
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -351,7 +351,7 @@
                 Fault::UnreachableAfterStart => StartReply::NotSent,
                 _ => StartReply::Started(clock),
             }
-        } else if used + 14_000 > 32_000 {
+        } else if used + 14_000 > target.capacity && target.is_guarded {
             StartReply::Refused(StartRefusal::InsufficientCapacity, Some(clock))
         } else {
             let duration = ms(spec.parse().unwrap()).div_f64(target.speed);
@@ -371,6 +371,7 @@
             if self.crashing_tasks.contains(&request.task) {
                 target.crash_at = Some(now + TIME_TO_CRASH);
             }
+            target.overcommitted_starts += u32::from(used + 14_000 > target.capacity);
             target.runs.insert(request.task, run);
             target.starts.push((request.task, now));
             target.extend_lease(lease_end, self.bounds.max_lease, now);
