Answer resubmitted jobs of suspects as unknown, not as not run

A caller whose job crashed a target, got no answer in time and submitted it again was told that the job had not run: while its task waits for the fate of the lost targets, the new submission was shed like one that was never started. Cause: only starts of the present submission counted.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -245,7 +245,7 @@
             chains_after,
             tasks: IndexMap::new(),
             waiting_tasks: VecDeque::new(),
-            start_sent: false,
+            start_sent: self.crash_history.has_suspects(submission.id),
             slow_target: None,
             deferred: false,
             log_run_time_ratio: None,
@@ -343,7 +343,10 @@
     ) {
         self.counts.refused += 1;
         self.log_refusal(submission.into(), refusal, expected, Duration::ZERO);
-        let outcome = Outcome::NotRun { refusal, retry_after };
+        // A job with suspects was started when it was submitted before.
+        let may_have_run = self.crash_history.has_suspects(submission.id);
+        let outcome =
+            if may_have_run { Outcome::Unknown } else { Outcome::NotRun { refusal, retry_after } };
         self.answer(keys, submission.id, outcome);
     }
 
--- a/tests/dispatch/crashing_tasks.rs
+++ b/tests/dispatch/crashing_tasks.rs
@@ -119,6 +119,20 @@
     assert_eq!(sim.duplicate_runs, []);
 }
 
+/// Guards against an untrue "not run": a job whose task waits since it may crash targets was started when it
+/// was submitted before.
+#[test]
+fn resubmitted_job_of_a_suspect_is_not_refused() {
+    let mut sim = Simulation::new(3).take_over();
+    sim.crashing_tasks.insert(first_task(1));
+    for _ in 0..6 {
+        let key = sim.submit(submission(1, URGENT, 1, ms(60)));
+        sim.run(ms(1_600));
+        let outcome = sim.outcome(key).unwrap();
+        assert!(matches!(outcome, Outcome::Unknown | Outcome::Failed), "{outcome:?}");
+    }
+}
+
 /// Guards against crashing much of a zone at once by trying all suspects again: at most a fifth of the
 /// targets is risked, and one more in a hundred each second.
 #[test]
