--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -69,6 +69,22 @@
   address @1 :Text;
 }
 
+struct Loss {
+  # A target that was lost while it ran a task.
+  target @0 :Text;
+  incarnation @1 :UInt64;
+  mainSuspect @2 :Bool;
+  # No run of another job had been started there later.
+  crashed @3 :Bool;
+}
+
+struct TaskLosses {
+  job @0 :UInt64;
+  step @1 :UInt32;
+  index @2 :UInt32;
+  losses @3 :List(Loss);
+}
+
 struct Beat {
   # Heartbeat: the state that a VM reports to its peers.
   from @0 :Member;
@@ -84,6 +100,9 @@
   # Such CPU on fast targets only, for jobs whose objective is their deadline.
   zones @5 :List(ZoneDispatcher);
   leaving @6 :Bool;
+  losses @8 :List(TaskLosses);
+  # Targets that the sender recently lost under tasks, so that its successor and other zones know
+  # which tasks may crash theirs.
 }
 
 interface Peer {
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -12,6 +12,7 @@
     },
     protocol::fleet::{DispatchReply, Heartbeat},
     state::{
+        crash_history::TaskLosses,
         job_submission::{JobSubmission, Outcome, Refusal},
         target::{FencingToken, TargetId, TargetTime},
         time::Moment,
@@ -116,6 +117,7 @@
             now,
         );
         core.disable(self.disabled);
+        core.set_crash_history(self.crash_history.take());
         let predecessor_has_targets = !kept.is_empty();
         core.set_predecessor_targets(kept, now);
         log::info!("dispatch: this VM is now the dispatcher of {}, epoch {epoch}", self.me.zone);
@@ -151,6 +153,7 @@
             return;
         }
         self.past_counts.set(self.past_counts.get() + old.core.counts());
+        *self.crash_history.borrow_mut() = old.core.crash_history().clone();
         for action in old.core.take_actions() {
             let Action::Answer { key, outcome, .. } = action else { continue };
             if let Some(waiter) = old.waiters.swap_remove(&key) {
@@ -177,6 +180,20 @@
         }
     }
 
+    /// Records the losses of targets that another dispatcher reports, for this VM's own work or for
+    /// the time when it succeeds that dispatcher.
+    pub(super) fn merge_losses(self: &Rc<Self>, losses: Vec<TaskLosses>) {
+        let is_dispatcher = self.dispatcher.borrow().is_some();
+        if is_dispatcher {
+            self.drive(|core, now| core.merge_losses(losses, now));
+        } else {
+            let now = self.clock.now();
+            let mut crash_history = self.crash_history.borrow_mut();
+            crash_history.merge(losses, now);
+            crash_history.expire(now);
+        }
+    }
+
     /// Records the spare CPU of another zone, as its dispatcher reports it.
     pub(super) fn update_remote_zone(&self, heartbeat: &Heartbeat) {
         let now = self.clock.now();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -24,6 +24,7 @@
     },
     protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot, ZoneDispatcher},
     state::{
+        crash_history::CrashHistory,
         fleet_config::FleetConfig,
         id::{ConfigVersion, VmName, ZoneName},
         job_submission::JobSubmission,
@@ -48,6 +49,10 @@
 };
 use tokio::{sync::Notify, task::spawn_local};
 
+/// Time for which heartbeats repeat a loss, so that followers learn of it although a heartbeat is
+/// lost; four heartbeats.
+const LOSS_REPORT_SPAN: Duration = Duration::from_millis(500);
+
 /// A client for requests to targets.
 pub trait TargetClient: 'static {
     /// Starts a run of a task. `spec` is what the target should run, `lease_end` the end of the
@@ -90,6 +95,8 @@
     announced_dispatcher: Cell<Option<SocketAddr>>,
     /// Signals that [`Node::announced_dispatcher`] is set.
     dispatcher_announced: Notify,
+    /// Losses of targets that dispatchers have reported, while this VM is none.
+    crash_history: RefCell<CrashHistory>,
     /// State of the dispatcher, while this VM is its zone's.
     dispatcher: RefCell<Option<DispatcherState>>,
     /// Connection to the dispatcher of this VM's zone, while that is another VM.
@@ -137,6 +144,7 @@
             last_dispatcher: Cell::default(),
             announced_dispatcher: Cell::default(),
             dispatcher_announced: Notify::new(),
+            crash_history: RefCell::default(),
             dispatcher: RefCell::default(),
             dispatcher_link: RefCell::default(),
             zone_links: RefCell::default(),
@@ -355,10 +363,15 @@
 {
     fn heartbeat(&self) -> Heartbeat {
         let now = self.clock.now();
-        let (epoch, spare_cpu) = match &*self.dispatcher.borrow() {
+        let dispatcher = self.dispatcher.borrow();
+        let (epoch, spare_cpu) = match &*dispatcher {
             Some(d) if d.successor.is_none() => (d.epoch, d.core.spare_cpu(now)),
             _ => (0, SpareCpu::default()),
         };
+        let losses = dispatcher
+            .as_ref()
+            .map(|d| d.core.crash_history().changed_within(LOSS_REPORT_SPAN, now));
+        drop(dispatcher);
         let hints = self.dispatcher_hints.borrow();
         let zones = hints
             .iter()
@@ -371,6 +384,7 @@
             spare_cpu,
             zones: zones.collect(),
             leaving: self.is_leaving(),
+            losses: losses.unwrap_or_default(),
         }
     }
 
@@ -380,6 +394,9 @@
         }
         self.add_peer(heartbeat.from.clone());
         self.highest_epoch.set(self.highest_epoch.get().max(heartbeat.epoch));
+        if !heartbeat.losses.is_empty() {
+            self.merge_losses(heartbeat.losses.clone());
+        }
         if heartbeat.from.zone == self.me.zone {
             for zone in &heartbeat.zones {
                 self.dispatcher_hints.borrow_mut().insert(zone.zone.clone(), zone.address);
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -5,10 +5,12 @@
     coordination::dispatch::SpareCpu,
     fleet_capnp as wire,
     state::{
+        crash_history::{Loss, TaskLosses},
         fleet_config::{Label, QueueName},
         id::{ConfigVersion, Incarnation, VmName, ZoneName},
-        job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, Step},
+        job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, Step, TaskId},
         resources::{Accelerators, Mebibytes, MilliCores, Resources},
+        target::{TargetId, TargetIncarnation},
     },
 };
 use serde::{Deserialize, Serialize};
@@ -68,6 +70,8 @@
     pub zones: Vec<ZoneDispatcher>,
     /// Whether the sender is shutting down.
     pub leaving: bool,
+    /// Targets that the sender recently lost under tasks, if it is a dispatcher.
+    pub losses: Vec<TaskLosses>,
 }
 
 impl Heartbeat {
@@ -175,9 +179,38 @@
         },
         zones,
         leaving: r.get_leaving(),
+        losses: r.get_losses()?.iter().map(read_task_losses).collect::<Result<_, _>>()?,
     })
 }
 
+fn read_task_losses(r: wire::task_losses::Reader<'_>) -> Result<TaskLosses, WireError> {
+    let mut losses = Vec::new();
+    for loss in r.get_losses()? {
+        losses.push(Loss {
+            target: TargetId::from(read_text(loss.get_target()?)?),
+            incarnation: TargetIncarnation(loss.get_incarnation()),
+            is_main_suspect: loss.get_main_suspect(),
+            crashed: loss.get_crashed(),
+        });
+    }
+    let task = TaskId { job: CallerJobId(r.get_job()), step: r.get_step(), index: r.get_index() };
+    Ok(TaskLosses { task, losses })
+}
+
+fn write_task_losses(losses: &TaskLosses, mut b: wire::task_losses::Builder<'_>) {
+    b.set_job(losses.task.job.0);
+    b.set_step(losses.task.step);
+    b.set_index(losses.task.index);
+    let mut list = b.init_losses(losses.losses.len() as u32);
+    for (n, loss) in losses.losses.iter().enumerate() {
+        let mut entry = list.reborrow().get(n as u32);
+        entry.set_target(&*loss.target.0);
+        entry.set_incarnation(loss.incarnation.0);
+        entry.set_main_suspect(loss.is_main_suspect);
+        entry.set_crashed(loss.crashed);
+    }
+}
+
 /// Writes a heartbeat.
 pub fn write_heartbeat(heartbeat: &Heartbeat, mut b: wire::beat::Builder<'_>) {
     write_peer(&heartbeat.from, b.reborrow().init_from());
@@ -189,6 +222,10 @@
     b.set_spare_milli_cores(heartbeat.spare_cpu.total_millicores);
     b.set_spare_fast_milli_cores(heartbeat.spare_cpu.fast_millicores);
     b.set_leaving(heartbeat.leaving);
+    let mut losses = b.reborrow().init_losses(heartbeat.losses.len() as u32);
+    for (n, task) in heartbeat.losses.iter().enumerate() {
+        write_task_losses(task, losses.reborrow().get(n as u32));
+    }
     let mut zones = b.init_zones(heartbeat.zones.len() as u32);
     for (n, zone) in heartbeat.zones.iter().enumerate() {
         let mut z = zones.reborrow().get(n as u32);
--- a/src/protocol/fleet_capnp.rs
+++ b/src/protocol/fleet_capnp.rs
@@ -2075,6 +2075,594 @@
     }
 }
 
+pub mod loss {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_target(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_target(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_main_suspect(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+        #[inline]
+        pub fn get_crashed(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_target(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_target(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_target(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_target(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_main_suspect(self) -> bool {
+            self.builder.get_bool_field(64)
+        }
+        #[inline]
+        pub fn set_main_suspect(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
+        }
+        #[inline]
+        pub fn get_crashed(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_crashed(&mut self, value: bool)  {
+            self.builder.set_bool_field(65, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(0, 59, 39, 154, 130, 55, 197, 196),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(4, 104, 94, 211, 162, 201, 247, 177),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 76, 111, 115, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 105, 110, 83, 117, 115, 112),
+            ::capnp::word(101, 99, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,2,0];
+        pub(crate) const TYPE_ID: u64 = 0xc4c5_3782_9a27_3b00;
+    }
+}
+
+pub mod task_losses {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_job(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_step(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_index(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_losses(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::loss::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_losses(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_job(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_job(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_step(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_step(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_index(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_index(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_losses(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::loss::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_losses(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::loss::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_losses(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::loss::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_losses(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(104, 62, 169, 160, 158, 222, 92, 151),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(4, 104, 94, 211, 162, 201, 247, 177),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 84, 97, 115, 107),
+            ::capnp::word(76, 111, 115, 115, 101, 115, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(106, 111, 98, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 101, 112, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 100, 101, 120, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 115, 115, 101, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 59, 39, 154, 130, 55, 197, 196),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::fleet_capnp::loss::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1];
+        pub(crate) const TYPE_ID: u64 = 0x975c_de9e_a0a9_3e68;
+    }
+}
+
 pub mod beat {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2180,11 +2768,19 @@
         pub fn get_spare_fast_milli_cores(self) -> u64 {
             self.reader.get_data_field::<u64>(4)
         }
+        #[inline]
+        pub fn get_losses(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::task_losses::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_losses(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2322,6 +2918,22 @@
         pub fn set_spare_fast_milli_cores(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(4, value);
         }
+        #[inline]
+        pub fn get_losses(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::task_losses::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_losses(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::task_losses::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_losses(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::task_losses::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_losses(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2336,80 +2948,87 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 146] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 165] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(34, 56, 224, 208, 143, 112, 106, 164),
             ::capnp::word(12, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(4, 104, 94, 211, 162, 201, 247, 177),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(81, 103, 216, 68, 96, 68, 233, 150),
@@ -2483,6 +3102,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 115, 115, 101, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 62, 169, 160, 158, 222, 92, 151),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2494,6 +3125,7 @@
                 5 => <::capnp::struct_list::Owned<crate::fleet_capnp::zone_dispatcher::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::fleet_capnp::task_losses::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2507,9 +3139,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,6,1,7,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,6,8,1,7,4,5];
         pub(crate) const TYPE_ID: u64 = 0xa46a_708f_d0e0_3822;
     }
 }
--- a/src/state/crash_history.rs
+++ b/src/state/crash_history.rs
@@ -21,6 +21,10 @@
 const MEMORY: Duration = Duration::from_secs(120);
 /// Largest number of tasks whose losses are remembered; the one with the oldest last loss goes first.
 const MAX_TASKS: usize = 4_096;
+/// Largest number of losses that are remembered for one task, the latest ones.
+const MAX_LOSSES: usize = 8;
+/// Largest number of tasks in one report to other VMs, which takes about 100 bytes a task.
+const MAX_REPORTED_TASKS: usize = 64;
 /// Time for which the platform's list must lack a target before it counts as crashed. Entries that
 /// expired while the store was unavailable return within two seconds.
 const GONE_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -167,6 +171,9 @@
             .records
             .shift_remove(&task)
             .unwrap_or_else(|| Record { losses: Vec::new(), changed_at: now });
+        if record.losses.len() >= MAX_LOSSES {
+            record.losses.remove(0);
+        }
         record.losses.push(loss);
         record.changed_at = now;
         self.records.insert(task, record);
@@ -175,7 +182,8 @@
         }
     }
 
-    /// Adds the losses that another VM has reported.
+    /// Adds the losses that another VM has reported. Losses that this one has found to be
+    /// withdrawn may return that way until the target answers the next time.
     pub fn merge(&mut self, reported: Vec<TaskLosses>, now: Moment) {
         for TaskLosses { task, losses } in reported {
             for loss in losses {
@@ -184,11 +192,12 @@
         }
     }
 
-    /// Returns the losses that were recorded, or whose targets turned out to have crashed, after
-    /// `since`.
-    pub fn changed_after(&self, since: Moment) -> Vec<TaskLosses> {
-        let recent = self.records.iter().filter(|(_, record)| record.changed_at > since);
+    /// Returns the losses of the tasks for which something changed less than `span` ago; of many
+    /// tasks, those with the latest losses.
+    pub fn changed_within(&self, span: Duration, now: Moment) -> Vec<TaskLosses> {
+        let recent = self.records.iter().rev().filter(|(_, r)| now - r.changed_at < span);
         recent
+            .take(MAX_REPORTED_TASKS)
             .map(|(task, record)| TaskLosses { task: *task, losses: record.losses.clone() })
             .collect()
     }
--- a/tests/dispatch/crashing_tasks.rs
+++ b/tests/dispatch/crashing_tasks.rs
@@ -119,6 +119,25 @@
     assert_eq!(sim.duplicate_runs, []);
 }
 
+/// Guards against a successor that begins to count crashes at zero: the job is submitted to it again.
+#[test]
+fn successor_knows_crashes_of_its_predecessor() {
+    let mut sim = Simulation::new(8).take_over();
+    sim.crashing_tasks.insert(first_task(1));
+    sim.submit(JobSubmission { time_to_deadline: ms(900), ..submission(1, URGENT, 1, ms(60)) });
+    sim.run(ms(1_050));
+    assert_eq!(sim.dispatcher.counts().lost_runs, 1);
+    sim.replace_dispatcher();
+    let mut outcomes = Vec::new();
+    for resumed in [true, false, false, false] {
+        let key = sim.submit_with(submission(1, URGENT, 1, ms(60)), false, resumed);
+        sim.run(ms(3_000));
+        outcomes.push(sim.outcome(key));
+    }
+    assert_eq!(outcomes.last(), Some(&Some(Outcome::Failed)), "{outcomes:?}");
+    assert_eq!(sim.crash_count(), MAX_CRASHES);
+}
+
 /// Guards against an untrue "not run": a job whose task waits since it may crash targets was started when it
 /// was submitted before.
 #[test]
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -162,6 +162,17 @@
         sim
     }
 
+    /// Replaces the dispatcher as after its loss. The successor knows what heartbeats have reported.
+    pub fn replace_dispatcher(&mut self) {
+        let reported = self.dispatcher.crash_history().changed_within(ms(500), self.now);
+        let timing = Timing::try_from(self.bounds).unwrap();
+        let config = Arc::new(config(2));
+        self.dispatcher = Dispatcher::new(FencingToken(200), config, timing, self.now);
+        self.dispatcher.merge_losses(reported, self.now);
+        self.targets.values_mut().for_each(|target| target.is_watched = false);
+        self.publish_targets();
+    }
+
     /// Publishes the targets, and runs until they are taken over.
     pub fn take_over(mut self) -> Self {
         self.publish_targets();
--- /dev/null
+++ b/tests/heartbeat.rs
@@ -0,0 +1,83 @@
+//! Heartbeats between VMs, over a loopback connection.
+
+use cranberrytray::{
+    coordination::dispatch::SpareCpu,
+    protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot},
+    state::{
+        crash_history::{Loss, TaskLosses},
+        id::{ConfigVersion, Incarnation, ZoneName},
+        job_submission::{CallerJobId, JobSubmission, Outcome, TaskId},
+        target::{TargetId, TargetIncarnation},
+    },
+    transport::fleet::{DispatchOptions, PeerHandler, PeerLink, serve},
+};
+use std::{rc::Rc, time::Duration};
+use tokio::{net::TcpListener, task::LocalSet};
+
+/// A VM that only sends a fixed heartbeat.
+struct Sender(Heartbeat);
+
+impl PeerHandler for Sender {
+    fn heartbeat(&self) -> Heartbeat {
+        self.0.clone()
+    }
+
+    fn on_heartbeat(self: &Rc<Self>, _: Heartbeat) {}
+
+    async fn run(self: &Rc<Self>, _: JobSubmission, _: DispatchOptions) -> DispatchReply {
+        DispatchReply::Ended(Outcome::Unknown)
+    }
+
+    fn take_over(self: &Rc<Self>, _: u64, _: Vec<TargetId>) -> bool {
+        false
+    }
+
+    fn snapshot(&self, _: Option<ZoneName>) -> Snapshot {
+        Snapshot {
+            version: ConfigVersion(0),
+            config: Vec::new(),
+            peers: Vec::new(),
+            targets: Vec::new(),
+        }
+    }
+}
+
+/// Guards against a successor that does not know which tasks crash targets: heartbeats carry that.
+#[test]
+fn heartbeat_carries_losses() {
+    let loss = |target: &str, crashed: bool| Loss {
+        target: TargetId::from(target),
+        incarnation: TargetIncarnation(1_741_690_114_000),
+        is_main_suspect: !crashed,
+        crashed,
+    };
+    let task = TaskId { job: CallerJobId(0x5c0e_7a21_d94b_36f8), step: 2, index: 17 };
+    let losses = vec![TaskLosses { task, losses: vec![loss("i-1", true), loss("i-2", false)] }];
+    let from = Peer {
+        vm: "vm-1".parse().unwrap(),
+        zone: "zone".parse().unwrap(),
+        address: ([127, 0, 0, 1], 7_200).into(),
+        weight: 250,
+        incarnation: Incarnation(1),
+    };
+    let heartbeat = Heartbeat {
+        from,
+        config_version: ConfigVersion(3),
+        dispatcher: None,
+        epoch: 5,
+        spare_cpu: SpareCpu { total_millicores: 64_000, fast_millicores: 28_000 },
+        zones: Vec::new(),
+        leaving: false,
+        losses,
+    };
+    let sender = Rc::new(Sender(heartbeat.clone()));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let received = LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::task::spawn_local(serve(listener, Rc::clone(&sender)));
+        let link = PeerLink::connect(&sender, address, Duration::from_secs(1)).await.unwrap();
+        link.last_heartbeat()
+    });
+    assert_eq!(received, Some(heartbeat));
+}
