--- a/src/coordination/dispatch/crashes.rs
+++ b/src/coordination/dispatch/crashes.rs
@@ -144,7 +144,8 @@
         true
     }
 
-    /// Whether a task may be started now, or has to wait because it may crash its target.
+    /// Whether a task may be started now. It has to wait if the budget for main suspects is used up, or
+    /// until it is known whether the targets that were lost under it have crashed.
     pub(super) fn may_risk(&self, task: TaskId, now: Moment) -> bool {
         match self.crash_history.suspicion(task) {
             Suspicion::None | Suspicion::Bystander => true,
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -70,7 +70,8 @@
     pub tasks: IndexMap<TaskId, TaskState>,
     /// Tasks that wait for a target, the next one first.
     pub waiting_tasks: VecDeque<TaskId>,
-    /// Whether a start of any task was sent, so that the job may have run and can't be refused.
+    /// Whether a start of any task was sent, for this or an earlier submission, so that the job may
+    /// have run and can't be refused.
     pub start_sent: bool,
     /// Last target on which a run of the job was slow.
     pub slow_target: Option<TargetId>,
--- a/src/state/crash_history.rs
+++ b/src/state/crash_history.rs
@@ -36,8 +36,8 @@
     pub target: TargetId,
     /// Its incarnation when the task was started there.
     pub incarnation: TargetIncarnation,
-    /// Whether no run of another job had been started there later, so that this task is more likely
-    /// the cause than others that ran there.
+    /// Whether no other job had a run there that was started later. Most tasks that crash targets do
+    /// so at once, so this one is the likely cause.
     pub is_main_suspect: bool,
     /// Whether the target is known to have crashed.
     pub crashed: bool,
@@ -182,8 +182,8 @@
         }
     }
 
-    /// Adds the losses that another VM has reported. Losses that this one has found to be
-    /// withdrawn may return that way until the target answers the next time.
+    /// Adds the losses that another VM has reported. A loss that was withdrawn here and not there
+    /// returns, until the target answers again.
     pub fn merge(&mut self, reported: Vec<TaskLosses>, now: Moment) {
         for TaskLosses { task, losses } in reported {
             for loss in losses {
--- a/src/state/job_submission.rs
+++ b/src/state/job_submission.rs
@@ -184,7 +184,7 @@
 pub enum Outcome {
     /// Every task succeeded.
     Completed,
-    /// A task has failed as many times as its queue allows.
+    /// A task has failed as many times as its queue allows, or crashes its targets.
     Failed,
     /// No task was started, and none will be.
     NotRun {
