--- a/src/coordination/dispatch/crashes.rs
+++ b/src/coordination/dispatch/crashes.rs
@@ -17,12 +17,12 @@
 const MAX_CRASHED_SHARE_PER_SECOND: f64 = 0.01;
 
 impl Dispatcher {
-    /// Replaces what is known of crashes, to be called before the first submission.
+    /// Replaces the known losses of targets, to be called before the first submission.
     pub fn set_crash_history(&mut self, crash_history: CrashHistory) {
         self.crash_history = crash_history;
     }
 
-    /// What is known of crashes.
+    /// Returns the losses of targets that this dispatcher knows of.
     pub fn crash_history(&self) -> &CrashHistory {
         &self.crash_history
     }
--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -118,7 +118,7 @@
         outcome: RunOutcome,
         /// Time since its start was sent.
         age: Duration,
-        /// Whether its job is still open.
+        /// True if its job is still open.
         has_job: bool,
     },
     /// A run was stopped because it was far behind its expected end or would end too late.
@@ -196,7 +196,7 @@
     Unresponsive {
         /// The target.
         target: TargetId,
-        /// What fails.
+        /// Reason, such as failing connections.
         reason: &'static str,
         /// Number of runs that may exist on it.
         runs: usize,
