Rename the start check of suspects, and reword doc comments of crashes

Read as a newcomer: a constant named MEMORY held a time, may_risk did not say what may be done, some doc comments were half sentences, and one gave a size in bytes that was not measured.

--- a/src/coordination/dispatch/crashes.rs
+++ b/src/coordination/dispatch/crashes.rs
@@ -146,7 +146,7 @@
 
     /// Whether a task may be started now. It has to wait if the budget for main suspects is used up, or
     /// until it is known whether the targets that were lost under it have crashed.
-    pub(super) fn may_risk(&self, task: TaskId, now: Moment) -> bool {
+    pub(super) fn may_start(&self, task: TaskId, now: Moment) -> bool {
         match self.crash_history.suspicion(task) {
             Suspicion::None | Suspicion::Bystander => true,
             Suspicion::MainSuspect => self.crash_tokens.has(now, 1.0),
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -101,7 +101,7 @@
         loop {
             let Some(job) = self.jobs.get(&key) else { return true };
             // Suspects that have to wait block neither their job nor others.
-            let startable = job.waiting_tasks.iter().position(|task| self.may_risk(*task, now));
+            let startable = job.waiting_tasks.iter().position(|task| self.may_start(*task, now));
             let Some(position) = startable else { break };
             let Some(&task) = job.waiting_tasks.get(position) else { break };
             let Some(step) = job.step(task).cloned() else { break };
--- a/src/state/crash_history.rs
+++ b/src/state/crash_history.rs
@@ -12,18 +12,18 @@
 use indexmap::{IndexMap, map::Entry};
 use std::time::Duration;
 
-/// Crashes under a task at which it is given up if the crashes may have other causes.
+/// Number of crashes at which a task is given up that never was a main suspect.
 const MAX_CRASHES: usize = 3;
-/// Crashes under a task at which it is given up if it was a main suspect of one of them.
+/// Number of crashes at which a task is given up that was a main suspect of one of them.
 const MAX_CRASHES_OF_MAIN_SUSPECT: usize = 2;
-/// Time for which the losses of a task are remembered after the last one, longer than callers go on
-/// submitting a job.
-const MEMORY: Duration = Duration::from_secs(120);
+/// Time for which the losses of a task are remembered after the last one, in case that its job is
+/// submitted again.
+const LOSS_RETENTION: Duration = Duration::from_secs(120);
 /// Largest number of tasks whose losses are remembered; the one with the oldest last loss goes first.
 const MAX_TASKS: usize = 4_096;
 /// Largest number of losses that are remembered for one task, the latest ones.
 const MAX_LOSSES: usize = 8;
-/// Largest number of tasks in one report to other VMs, which takes about 100 bytes a task.
+/// Largest number of tasks in one report to other VMs, which limits the size of heartbeats.
 const MAX_REPORTED_TASKS: usize = 64;
 /// Time for which the platform's list must lack a target before it counts as crashed. Entries that
 /// expired while the store was unavailable return within two seconds.
@@ -52,7 +52,7 @@
     pub losses: Vec<Loss>,
 }
 
-/// How likely a task crashes its targets.
+/// Likelihood that a task crashes its targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Suspicion {
     /// No target was lost under it.
@@ -129,7 +129,7 @@
 }
 
 impl CrashHistory {
-    /// How likely a task crashes its targets.
+    /// Returns the likelihood that a task crashes its targets.
     pub fn suspicion(&self, task: TaskId) -> Suspicion {
         self.records.get(&task).map_or(Suspicion::None, Record::suspicion)
     }
@@ -141,12 +141,12 @@
         proven.map(|(task, _)| *task)
     }
 
-    /// Whether a target was lost under a task of a job.
+    /// Returns true if a target was lost under a task of the job.
     pub fn has_suspects(&self, job: CallerJobId) -> bool {
         self.records.keys().any(|task| task.job == job)
     }
 
-    /// Whether no target was lost under any task.
+    /// Returns true if no target was lost under any task.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
@@ -268,7 +268,8 @@
     /// Forgets old losses, and counts targets that are gone for long as crashed. Returns the tasks
     /// whose suspicion may have changed.
     pub fn expire(&mut self, now: Moment) -> Vec<TaskId> {
-        let old = self.records.values().take_while(|record| now - record.changed_at > MEMORY);
+        let old =
+            self.records.values().take_while(|record| now - record.changed_at > LOSS_RETENTION);
         let old = old.count();
         self.records.drain(..old);
         let is_gone = |u: &Unresolved| u.gone_since.is_some_and(|since| now - since > GONE_TIMEOUT);
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -99,12 +99,12 @@
     /// The run was stopped on request, or was never started.
     #[display("stopped")]
     Stopped,
-    /// The run is gone without a result.
+    /// The run ended without a result.
     #[display("lost: {_0}")]
     Lost(LossCause),
 }
 
-/// Why a run is gone without a result.
+/// Reason for which a run ended without a result.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum LossCause {
     /// The target reports that the lease expired, or that the run ended for another reason that is
--- a/src/state/token_bucket.rs
+++ b/src/state/token_bucket.rs
@@ -62,7 +62,7 @@
         true
     }
 
-    /// Whether [`TokenBucket::try_take`] would succeed.
+    /// Returns true if [`TokenBucket::try_take`] would succeed.
     pub fn has(mut self, now: Moment, tokens: f64) -> bool {
         self.refill(now);
         self.tokens >= tokens.min(self.capacity)
