--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod admission;
 pub mod crashes;
+mod fast_targets;
 pub mod forecast;
 pub mod job;
 pub mod log_event;
@@ -33,6 +34,7 @@
     token_bucket::TokenBucket,
 };
 use derive_more::{Add, Display};
+use fast_targets::FastLimit;
 use indexmap::{IndexMap, IndexSet};
 use job::Job;
 pub use log_event::{JobLabel, LogEvent, Outlook};
@@ -42,8 +44,6 @@
 
 /// Weight of one run in the slowness estimate of a kind of target; dozens of runs end per second.
 const KIND_SLOWNESS_WEIGHT: f64 = 0.02;
-/// Targets with at most this slowness are fast; 1 is usual.
-const MAX_FAST_SLOWNESS: f64 = 0.8;
 /// Maximum number of open jobs; more than the largest sites can run within one deadline.
 const MAX_OPEN_JOBS: usize = 4_096;
 
@@ -214,6 +214,8 @@
     /// Tokens for starts of tasks that are main suspects of a crash; a crash uses one up.
     crash_tokens: TokenBucket,
     run_times: RunTimeEstimator<QueueName, Label>,
+    /// Which targets are fast, as of the last tick.
+    fast_limit: FastLimit,
     /// Round-trip estimate of start requests.
     rtt: RttEstimator,
     /// Recent share of lease renewals without an answer.
@@ -257,6 +259,7 @@
             crash_history: CrashHistory::default(),
             crash_tokens: TokenBucket::new(0.0, 1.0),
             run_times: RunTimeEstimator::with_worker_weight(KIND_SLOWNESS_WEIGHT),
+            fast_limit: FastLimit::default(),
             rtt: RttEstimator::default(),
             renewal_loss_rate: 0.0,
             counts: Counts { takeovers: 1, ..Counts::default() },
@@ -331,7 +334,7 @@
         for target in self.targets.values().filter(|t| self.is_usable(t, now)) {
             let cpu = target.free_resources().cpu.0;
             spare.total_millicores = spare.total_millicores.saturating_add(cpu);
-            if self.target_slowness(target) <= MAX_FAST_SLOWNESS {
+            if self.fast_limit.is_fast(self.target_slowness(target)) {
                 spare.fast_millicores = spare.fast_millicores.saturating_add(cpu);
             }
         }
@@ -370,6 +373,7 @@
     /// milliseconds.
     pub fn tick(&mut self, now: Moment) {
         self.check_suspension(now);
+        self.update_fast_limit();
         self.expire_jobs(now);
         self.expire_losses(now);
         self.shed_late_jobs(now);
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -36,6 +36,8 @@
     cpu_left: u64,
     /// Number of runs that a crash would take along, counted only if the task is a suspect.
     runs_at_risk: usize,
+    /// Whether no target is worth waiting for, since this one is among the fastest.
+    is_among_fastest: bool,
 }
 
 impl Candidate {
@@ -162,7 +164,14 @@
             let in_time = now + (run_time + chain_after).mul_f64(safety_factor) <= job.objective;
             let cpu_left = t.free_resources().saturating_sub(step.needs).cpu.0;
             let runs_at_risk = if is_suspect { t.runs.len() } else { 0 };
-            Some(Candidate { id: t.info.id.clone(), run_time, in_time, cpu_left, runs_at_risk })
+            Some(Candidate {
+                id: t.info.id.clone(),
+                run_time,
+                in_time,
+                cpu_left,
+                runs_at_risk,
+                is_among_fastest: self.is_among_fastest(t),
+            })
         });
         let compare = if self.enables(Mechanism::SlowestInTime) {
             Candidate::compare
@@ -171,6 +180,7 @@
         };
         let best = candidates.min_by(compare)?;
         let should_wait = !best.in_time
+            && !best.is_among_fastest
             && job.has_hard_deadline()
             && (self.enables(Mechanism::FastTargetWait)
                 && self.can_wait_for_fast_target(key, step, now)
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -34,6 +34,8 @@
     FastTargetWait,
     /// A task with a hard deadline waits for a busy target on which it would end sooner.
     BusyTargetWait,
+    /// Where few targets are far faster than usual, the fastest ones of them count as fast.
+    RelativeFastLimit,
     /// A task goes to the slowest target on which it is in time, else to the fastest one.
     SlowestInTime,
     /// Expected run times are multiplied by a safety factor when compared with the objective.
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod large_jobs;
 mod load;
 mod malformed;
+mod near_equal_targets;
 mod ownership;
 mod runs;
 mod simulation;
