--- a/src/coordination/dispatch/fast_targets.rs
+++ b/src/coordination/dispatch/fast_targets.rs
@@ -1,11 +1,7 @@
 //! Which targets are fast: those that long tasks with a hard deadline should run on.
 
-use super::{Dispatcher, job::Job};
-use crate::state::{
-    mechanism::Mechanism,
-    target::{Target, TargetId},
-};
-use std::ops::RangeInclusive;
+use super::Dispatcher;
+use crate::state::{mechanism::Mechanism, target::Target};
 
 /// Targets with at most this slowness are fast; 1 is usual.
 const MAX_FAST_SLOWNESS: f64 = 0.8;
@@ -24,21 +20,6 @@
 /// Number of targets with so many runs from which the limit is derived.
 const MIN_TARGETS: usize = 10;
 
-/// Number of tasks of a job that are compared with each other; fewer say little about the job.
-const MIN_PEER_TASKS: usize = 4;
-/// Number of compared runs after which the slowness of a target is taken from them.
-const MIN_PEER_RUNS: u32 = 6;
-/// Least weight of a compared run. Tasks of one job differ by a seventh, so that some dozens of runs tell
-/// targets apart that differ by a fifth.
-const PEER_WEIGHT: f64 = 0.04;
-/// Number of runs that the initial slowness of 1 counts as.
-const PRIOR_PEER_RUNS: f64 = 2.0;
-/// Run time of a task relative to the others of its job beyond which it is an outlier.
-const PEER_RATIOS: RangeInclusive<f64> = 0.5..=2.0;
-/// Range of the slowness from all recent runs relative to that from compared ones; outside of it, the
-/// target has become slower or faster, which recent runs show sooner.
-const STABLE_RATIOS: RangeInclusive<f64> = 0.7..=1.4;
-
 /// Limit on the slowness of fast targets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct FastLimit {
@@ -84,61 +65,14 @@
             self.fast_limit = FastLimit::default();
             return;
         }
-        self.normalize_peer_slowness();
         let known = self.targets.values().filter(|t| t.observed_runs >= MIN_TARGET_RUNS);
         self.fast_limit =
             FastLimit::from_slowness(known.map(|t| self.target_slowness(t)).collect());
     }
 
-    /// Scales the slowness from compared runs to a geometric mean of 1, since comparisons determine
-    /// it up to a common factor.
-    fn normalize_peer_slowness(&mut self) {
-        let known = self.targets.values().filter(|t| t.peer_runs > 0);
-        let (sum, count) =
-            known.fold((0.0, 0), |(sum, count), t| (sum + t.peer_slowness.ln(), count + 1));
-        if count == 0 {
-            return;
-        }
-        let mean = (sum / f64::from(count)).exp();
-        self.targets.values_mut().filter(|t| t.peer_runs > 0).for_each(|t| t.peer_slowness /= mean);
-    }
-
     /// Whether no other target is so much faster that a task should wait for it. Known only where
     /// the limit on the slowness of fast targets follows from that of all.
     pub(super) fn is_among_fastest(&self, target: &Target) -> bool {
         self.fast_limit.is_relative && self.fast_limit.is_fast(self.target_slowness(target))
     }
-    /// Slowness of a target from runs that were compared with others of the same job, which removes
-    /// the error of the jobs' predicted run times. `None` if it is not known, or where targets differ
-    /// so much that it makes no difference.
-    pub(super) fn peer_slowness(&self, target: &Target) -> Option<f64> {
-        let is_known = self.fast_limit.is_relative
-            && target.peer_runs >= MIN_PEER_RUNS
-            && self.enables(Mechanism::PeerSlowness);
-        let recent = self.kind_slowness(&target.info.kind) * target.slowness;
-        let is_stable = STABLE_RATIOS.contains(&(recent / target.peer_slowness));
-        (is_known && is_stable).then_some(target.peer_slowness)
-    }
-
-    /// Compares the run times of a completed job's tasks with each other.
-    pub(super) fn learn_peer_slowness(&mut self, job: &Job) {
-        let measured = job.tasks.values().filter_map(|task| task.measured_on.as_ref());
-        let measured: Vec<(&TargetId, f64)> = measured.map(|(id, ratio)| (id, *ratio)).collect();
-        if measured.len() < MIN_PEER_TASKS {
-            return;
-        }
-        let slowness_of = |id: &TargetId| self.targets.get(id).map_or(1.0, |t| t.peer_slowness);
-        let scales = measured.iter().map(|(id, ratio)| (ratio / slowness_of(id)).ln());
-        let mean_scale = (scales.sum::<f64>() / measured.len() as f64).exp();
-        for (id, ratio) in measured {
-            let Some(target) = self.targets.get_mut(id) else { continue };
-            let observed = ratio / mean_scale;
-            if !PEER_RATIOS.contains(&(observed / target.peer_slowness)) {
-                continue;
-            }
-            target.peer_runs += 1;
-            let weight = PEER_WEIGHT.max(1.0 / (f64::from(target.peer_runs) + PRIOR_PEER_RUNS));
-            target.peer_slowness += weight * (observed - target.peer_slowness);
-        }
-    }
 }
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -43,9 +43,6 @@
     /// Run time of its last run, relative to what is expected for its queue, its declared time and
     /// its target; `None` before the end of the run is known or projected.
     pub run_time_ratio: Option<f64>,
-    /// Target of the run that succeeded, if its start and end are known well, and its run time
-    /// relative to what is expected for its queue, its declared time and a usual target.
-    pub measured_on: Option<(TargetId, f64)>,
 }
 
 /// An admitted job.
@@ -232,7 +229,6 @@
         let Some(job) = self.jobs.swap_remove(&key) else { return };
         let now = self.last_call_at;
         if outcome == Outcome::Completed {
-            self.learn_peer_slowness(&job);
             let label = JobLabel::from(&job.submission);
             let (age, scale) = (now - job.arrived_at, job.run_time_ratio());
             if now > job.objective {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -351,8 +351,7 @@
 
     /// Run time of tasks on a target relative to a usual one, from its kind and its own runs.
     fn target_slowness(&self, target: &Target) -> f64 {
-        self.peer_slowness(target)
-            .unwrap_or_else(|| self.kind_slowness(&target.info.kind) * target.slowness)
+        self.kind_slowness(&target.info.kind) * target.slowness
     }
 
     fn kind_slowness(&self, kind: &Label) -> f64 {
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -326,16 +326,11 @@
         let is_usual_known = self.run_times.observations(queue) >= MIN_QUEUE_OBSERVATIONS
             && self.run_times.worker_observations(&target.info.kind) >= MIN_KIND_OBSERVATIONS;
         let ratio = duration.as_secs_f64() / expected.max(1e-3);
-        let ratio_on_usual = ratio * slowness;
-        let is_done = job.tasks.get(&task).is_some_and(|state| state.done);
         let is_job_usual =
             job.min_run_time_ratio_of_others(task).is_some_and(|other| other < USUAL_RATIO);
         let Some(job) = self.jobs.get_mut(&key) else { return false };
         if let Some(task_state) = job.tasks.get_mut(&task) {
             task_state.run_time_ratio = Some(ratio);
-            if is_done {
-                task_state.measured_on = Some((target_id.clone(), ratio_on_usual));
-            }
         }
         if ratio < SLOW_RUN_RATIO || !is_usual_known {
             return false;
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -48,8 +48,6 @@
     DeclaredRunTimes,
     /// The slowness of each target is learned.
     TargetSlowness,
-    /// Where targets are nearly equal, their slowness is learned from runs of the same job.
-    PeerSlowness,
     /// The slowness of each kind of target is learned.
     KindSlowness,
     /// Progress of long runs is requested early.
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -294,10 +294,6 @@
     pub slowness: f64,
     /// Number of runs from which `slowness` was learned.
     pub observed_runs: u32,
-    /// As `slowness`, but learned from runs compared with those of the same job on other targets.
-    pub peer_slowness: f64,
-    /// Number of runs from which `peer_slowness` was learned.
-    pub peer_runs: u32,
     /// Time until which no run is started on the target after it refused one for insufficient
     /// resources.
     pub no_starts_until: Moment,
@@ -326,8 +322,6 @@
             outlier: OutlierState::default(),
             slowness: 1.0,
             observed_runs: 0,
-            peer_slowness: 1.0,
-            peer_runs: 0,
             no_starts_until: Moment::ZERO,
             listed: true,
         }
