--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! Data structures without I/O: ids, jobs, queues, workers, targets, configuration and limits.
 
 pub mod crash_history;
+pub mod evacuation;
 pub mod fleet_config;
 pub mod id;
 pub mod job;
