--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -78,6 +78,10 @@
     pub labels: Vec<Label>,
     /// Whether the target is shutting down and must get no new tasks.
     pub draining: bool,
+    /// Time for which the target remained slow after its start, when the list entry was written; zero
+    /// if it was not slow.
+    #[serde(default)]
+    pub cold_for: Duration,
 }
 
 impl TargetInfo {
