--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -165,6 +165,8 @@
     pub refused: u64,
     /// Jobs redirected to another zone.
     pub redirected: u64,
+    /// Jobs redirected because their zone is evacuated.
+    pub evacuation_redirects: u64,
     /// Jobs of which every task succeeded.
     pub completed: u64,
     /// Jobs answered with an unknown outcome, since they may have run.
@@ -209,6 +211,8 @@
     /// Submissions that wait until earlier runs of their tasks are closed.
     deferred: Vec<DeferredSubmission>,
     remote_zones: IndexMap<ZoneName, RemoteZone>,
+    /// Zones in which no task may be started; decisions do not depend on it yet.
+    evacuated_zones: IndexSet<ZoneName>,
     /// Targets that were lost under tasks.
     crash_history: CrashHistory,
     /// Tokens for starts of tasks that are main suspects of a crash; a crash uses one up.
@@ -254,6 +258,7 @@
             orphaned_runs: IndexMap::new(),
             deferred: Vec::new(),
             remote_zones: IndexMap::new(),
+            evacuated_zones: IndexSet::new(),
             crash_history: CrashHistory::default(),
             crash_tokens: TokenBucket::new(0.0, 1.0),
             run_times: RunTimeEstimator::with_worker_weight(KIND_SLOWNESS_WEIGHT),
@@ -314,6 +319,11 @@
         }
     }
 
+    /// Sets the evacuated zones, in which no task may be started.
+    pub fn set_evacuated_zones(&mut self, zones: &IndexSet<ZoneName>, _now: Moment) {
+        self.evacuated_zones.clone_from(zones);
+    }
+
     /// Records the spare CPU that the dispatcher of another zone reports.
     pub fn update_remote_zone(
         &mut self,
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -118,6 +118,7 @@
         );
         core.disable(self.disabled);
         core.set_crash_history(self.crash_history.take());
+        core.set_evacuated_zones(self.evacuations.borrow().zones(), now);
         let predecessor_has_targets = !kept.is_empty();
         core.set_predecessor_targets(kept, now);
         log::info!("dispatch: this VM is now the dispatcher of {}, epoch {epoch}", self.me.zone);
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -148,10 +148,19 @@
                 "Jobs of this dispatcher without an answer",
                 core.map_or(0, |core| core.open_jobs() as u64),
             ),
+            (
+                "evacuated_zones",
+                "Zones in which no task may be started",
+                self.evacuations.borrow().zones().len() as u64,
+            ),
         ];
         for (name, help, value) in values {
             registry.register(name, help, ConstGauge::new(value as i64));
         }
+        let help =
+            "Time since the evacuated zones were last read or accepted from a VM, in seconds";
+        let age = ConstGauge::new(self.evacuation_age().as_secs_f64());
+        registry.register("evacuation_revision_age_seconds", help, age);
     }
 }
 
@@ -160,6 +169,11 @@
         ("dispatch_admitted", "Jobs let in", counts.admitted),
         ("dispatch_refused", "Jobs refused", counts.refused),
         ("dispatch_passed", "Jobs passed to another zone", counts.redirected),
+        (
+            "evacuation_redirects",
+            "Jobs redirected because their zone is evacuated",
+            counts.evacuation_redirects,
+        ),
         ("dispatch_completed", "Jobs completed", counts.completed),
         ("dispatch_unknown", "Jobs given up that may have run", counts.unknown),
         ("starts", "Starts sent", counts.starts),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 pub mod dispatcher;
 pub mod election;
 pub mod entry;
+pub mod evacuation;
 pub mod handover;
 pub mod metrics;
 
@@ -25,12 +26,14 @@
     protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot, ZoneDispatcher},
     state::{
         crash_history::CrashHistory,
+        evacuation::Evacuations,
         fleet_config::FleetConfig,
         id::{ConfigVersion, VmName, ZoneName},
         job_submission::JobSubmission,
         known_targets::KnownTargets,
         mechanism::{Mechanism, MechanismSet},
         target::{TargetId, TargetInfo, TargetReport, TargetTime},
+        time::Moment,
     },
     transport::fleet::{DispatchOptions, PeerHandler, PeerLink},
 };
@@ -81,6 +84,9 @@
     disabled: MechanismSet,
     clock: Clock,
     config: RefCell<Option<Arc<FleetConfig>>>,
+    evacuations: RefCell<Evacuations>,
+    /// When the evacuated zones were last read from the store or accepted from a peer.
+    evacuations_confirmed_at: Cell<Moment>,
     peers: RefCell<IndexMap<VmName, Peer>>,
     /// Whether a list of VMs was read.
     knows_peers: Cell<bool>,
@@ -136,6 +142,8 @@
             disabled,
             clock: Clock::new(),
             config: RefCell::default(),
+            evacuations: RefCell::default(),
+            evacuations_confirmed_at: Cell::default(),
             peers: RefCell::default(),
             knows_peers: Cell::default(),
             known_targets: RefCell::default(),
@@ -317,7 +325,8 @@
         });
     }
 
-    /// Fetches a peer's configuration, list of VMs and, if none are known here, the zone's targets.
+    /// Fetches a peer's configuration, list of VMs, evacuated zones and, if none are known here, the
+    /// zone's targets.
     ///
     /// # Errors
     ///
@@ -329,6 +338,8 @@
         let link = PeerLink::connect(self, from, election::IDLE_HEARTBEAT_INTERVAL).await?;
         let zone = self.zone_targets().is_empty().then_some(&self.me.zone);
         let snapshot = link.snapshot(zone).await?;
+        // Before the configuration, with which this VM may become the dispatcher.
+        self.merge_evacuations(&snapshot.evacuations, &format!("the VM at {from}"));
         self.add_peers(snapshot.peers);
         self.add_targets(&snapshot.targets, from);
         if snapshot.version > self.config_version() {
@@ -385,10 +396,12 @@
             zones: zones.collect(),
             leaving: self.is_leaving(),
             losses: losses.unwrap_or_default(),
+            evacuations: self.evacuations(),
         }
     }
 
     fn on_heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
+        self.merge_evacuations(&heartbeat.evacuations, heartbeat.from.vm.as_str());
         if heartbeat.config_version > self.config_version() {
             self.fetch_config(heartbeat.from.address);
         }
@@ -443,6 +456,7 @@
             }
             None => (ConfigVersion(0), Vec::new()),
         };
-        Snapshot { version, config, peers, targets: targets.unwrap_or_default() }
+        let evacuations = self.evacuations();
+        Snapshot { version, config, peers, targets: targets.unwrap_or_default(), evacuations }
     }
 }
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -6,6 +6,7 @@
     fleet_capnp as wire,
     state::{
         crash_history::{Loss, TaskLosses},
+        evacuation::Evacuations,
         fleet_config::{Label, QueueName},
         id::{ConfigVersion, Incarnation, VmName, ZoneName},
         job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, Step, TaskId},
@@ -13,6 +14,7 @@
         target::{TargetId, TargetIncarnation},
     },
 };
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -72,6 +74,8 @@
     pub leaving: bool,
     /// Targets that the sender recently lost under tasks, if it is a dispatcher.
     pub losses: Vec<TaskLosses>,
+    /// Evacuated zones that the sender knows.
+    pub evacuations: Evacuations,
 }
 
 impl Heartbeat {
@@ -81,7 +85,7 @@
     }
 }
 
-/// The configuration, VMs and targets known to a VM, sent to a peer on request.
+/// The configuration, VMs, targets and evacuated zones known to a VM, sent to a peer on request.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
     /// Version of the configuration; zero if the sender has none.
@@ -92,6 +96,8 @@
     pub peers: Vec<Peer>,
     /// Targets of the requested zone in JSON; empty if no zone was requested.
     pub targets: Vec<u8>,
+    /// Evacuated zones that the sender knows.
+    pub evacuations: Evacuations,
 }
 
 /// Reads the reply to a request to run a job.
@@ -130,6 +136,29 @@
     read_text(t)?.parse().map_err(|_| WireError::Capnp(capnp::Error::failed("address".into())))
 }
 
+/// Reads the evacuated zones and their revision.
+///
+/// # Errors
+///
+/// Returns a [`WireError`] if the message is malformed.
+pub fn read_evacuations(
+    revision: u64,
+    zones: capnp::text_list::Reader<'_>,
+) -> Result<Evacuations, WireError> {
+    let mut names = IndexSet::new();
+    for zone in zones {
+        names.insert(read_text(zone?)?.parse()?);
+    }
+    Ok(Evacuations::new(revision, names))
+}
+
+/// Writes the names of the evacuated zones into a list of the same length.
+pub fn write_evacuated_zones(evacuations: &Evacuations, mut b: capnp::text_list::Builder<'_>) {
+    for (n, zone) in evacuations.zones().iter().enumerate() {
+        b.set(n as u32, zone.as_str());
+    }
+}
+
 /// Reads the description of a VM.
 ///
 /// # Errors
@@ -180,6 +209,7 @@
         zones,
         leaving: r.get_leaving(),
         losses: r.get_losses()?.iter().map(read_task_losses).collect::<Result<_, _>>()?,
+        evacuations: read_evacuations(r.get_evacuation_revision(), r.get_evacuated_zones()?)?,
     })
 }
 
@@ -222,6 +252,9 @@
     b.set_spare_milli_cores(heartbeat.spare_cpu.total_millicores);
     b.set_spare_fast_milli_cores(heartbeat.spare_cpu.fast_millicores);
     b.set_leaving(heartbeat.leaving);
+    b.set_evacuation_revision(heartbeat.evacuations.revision());
+    let evacuated = heartbeat.evacuations.zones().len() as u32;
+    write_evacuated_zones(&heartbeat.evacuations, b.reborrow().init_evacuated_zones(evacuated));
     let mut losses = b.reborrow().init_losses(heartbeat.losses.len() as u32);
     for (n, task) in heartbeat.losses.iter().enumerate() {
         write_task_losses(task, losses.reborrow().get(n as u32));
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -8,9 +8,9 @@
 use crate::{
     fleet_capnp::peer,
     protocol::fleet::{
-        DispatchReply, Heartbeat, Snapshot, read_dispatch_reply, read_heartbeat,
-        read_job_submission, read_peer, write_dispatch_reply, write_heartbeat,
-        write_job_submission, write_peer,
+        DispatchReply, Heartbeat, Snapshot, read_dispatch_reply, read_evacuations, read_heartbeat,
+        read_job_submission, read_peer, write_dispatch_reply, write_evacuated_zones,
+        write_heartbeat, write_job_submission, write_peer,
     },
     state::{
         id::{ConfigVersion, ZoneName},
@@ -154,6 +154,10 @@
         results.set_plan_version(snapshot.version.0);
         results.set_plan(&snapshot.config);
         results.set_targets(&snapshot.targets);
+        results.set_evacuation_revision(snapshot.evacuations.revision());
+        let evacuated = snapshot.evacuations.zones().len() as u32;
+        let zones = results.reborrow().init_evacuated_zones(evacuated);
+        write_evacuated_zones(&snapshot.evacuations, zones);
         let mut peers = results.init_members(snapshot.peers.len() as u32);
         for (n, peer) in snapshot.peers.iter().enumerate() {
             write_peer(peer, peers.reborrow().get(n as u32));
@@ -320,6 +324,10 @@
             config: res.get_plan()?.to_vec(),
             peers,
             targets: res.get_targets()?.to_vec(),
+            evacuations: read_evacuations(
+                res.get_evacuation_revision(),
+                res.get_evacuated_zones()?,
+            )?,
         })
     }
 }
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -5,6 +5,7 @@
     protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot},
     state::{
         crash_history::{Loss, TaskLosses},
+        evacuation::Evacuations,
         id::{ConfigVersion, Incarnation, ZoneName},
         job_submission::{CallerJobId, JobSubmission, Outcome, TaskId},
         target::{TargetId, TargetIncarnation},
@@ -38,21 +39,16 @@
             config: Vec::new(),
             peers: Vec::new(),
             targets: Vec::new(),
+            evacuations: self.0.evacuations.clone(),
         }
     }
 }
 
-/// Guards against a successor that does not know which tasks crash targets: heartbeats carry that.
-#[test]
-fn heartbeat_carries_losses() {
-    let loss = |target: &str, crashed: bool| Loss {
-        target: TargetId::from(target),
-        incarnation: TargetIncarnation(1_741_690_114_000),
-        is_main_suspect: !crashed,
-        crashed,
-    };
-    let task = TaskId { job: CallerJobId(0x5c0e_7a21_d94b_36f8), step: 2, index: 17 };
-    let losses = vec![TaskLosses { task, losses: vec![loss("i-1", true), loss("i-2", false)] }];
+fn evacuations() -> Evacuations {
+    Evacuations::new(41, ["zone-b".parse().unwrap()])
+}
+
+fn heartbeat(losses: Vec<TaskLosses>) -> Heartbeat {
     let from = Peer {
         vm: "vm-1".parse().unwrap(),
         zone: "zone".parse().unwrap(),
@@ -60,7 +56,7 @@
         weight: 250,
         incarnation: Incarnation(1),
     };
-    let heartbeat = Heartbeat {
+    Heartbeat {
         from,
         config_version: ConfigVersion(3),
         dispatcher: None,
@@ -69,15 +65,45 @@
         zones: Vec::new(),
         leaving: false,
         losses,
-    };
-    let sender = Rc::new(Sender(heartbeat.clone()));
+        evacuations: evacuations(),
+    }
+}
+
+/// Connects to a VM that sends `heartbeat`, and returns what it sends in a heartbeat and in a
+/// snapshot.
+fn receive(heartbeat: Heartbeat) -> (Option<Heartbeat>, Snapshot) {
+    let sender = Rc::new(Sender(heartbeat));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let received = LocalSet::new().block_on(&runtime, async {
+    LocalSet::new().block_on(&runtime, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         tokio::task::spawn_local(serve(listener, Rc::clone(&sender)));
         let link = PeerLink::connect(&sender, address, Duration::from_secs(1)).await.unwrap();
-        link.last_heartbeat()
-    });
-    assert_eq!(received, Some(heartbeat));
+        (link.last_heartbeat(), link.snapshot(None).await.unwrap())
+    })
+}
+
+/// Guards against a VM that starts while the store is unavailable and learns the configuration from
+/// a peer, but not which zones are evacuated.
+#[test]
+fn snapshot_carries_evacuations() {
+    let (_, snapshot) = receive(heartbeat(Vec::new()));
+    assert_eq!(snapshot.evacuations, evacuations());
+}
+
+/// Guards against a successor that does not know which tasks crash targets or which zones are
+/// evacuated: heartbeats carry that.
+#[test]
+fn heartbeat_carries_losses_and_evacuations() {
+    let loss = |target: &str, crashed: bool| Loss {
+        target: TargetId::from(target),
+        incarnation: TargetIncarnation(1_741_690_114_000),
+        is_main_suspect: !crashed,
+        crashed,
+    };
+    let task = TaskId { job: CallerJobId(0x5c0e_7a21_d94b_36f8), step: 2, index: 17 };
+    let losses = vec![TaskLosses { task, losses: vec![loss("i-1", true), loss("i-2", false)] }];
+    let sent = heartbeat(losses);
+    let (received, _) = receive(sent.clone());
+    assert_eq!(received, Some(sent));
 }
