--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -37,7 +37,7 @@
 /// the job takes; a smaller lead may be used up by the time the job arrives there.
 const FAST_MARGIN_DIVISOR: u64 = 4;
 /// Retry delay of jobs refused because no target or no queue is known for them.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Source of a job, which decides the latest expected end at which it is admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +71,8 @@
         } else if let Some(&first) = self.keys_by_job_id.get(&submission.id) {
             if let Some(job) = self.jobs.get_mut(&first) {
                 job.submissions.push(key);
+                // All submissions of a job are answered alike, so each has to permit a redirect.
+                job.may_redirect &= may_redirect && !resumed;
             }
         } else if let Some(earlier) =
             self.deferred.iter_mut().find(|d| d.submission.id == submission.id)
@@ -172,8 +174,14 @@
             let delay = MAX_RETRY_AFTER;
             return self.refuse(&keys, &submission, Refusal::Shape, delay, Duration::ZERO);
         }
+        let is_servable = self.is_servable(&submission, &queue);
+        if !is_servable && self.is_evacuating() {
+            let may_redirect = origin == Origin::Caller;
+            return self.redirect_or_refuse_evacuated(&keys, &submission, may_redirect, now);
+        }
         let id = submission.id;
         let mut job = self.new_job(submission, &queue, arrived_at);
+        job.may_redirect = origin == Origin::Caller;
         let rank = self.rank_of(&job, key);
         let mut forecast = self.forecast(now);
         self.schedule_ahead(&mut forecast, Some(rank), now);
@@ -181,14 +189,13 @@
         let end = self.schedule_waiting(&mut forecast, &job, now);
         let cpu = job.submission.total_millicores();
         let late = end.is_none_or(|end| end > job.objective);
-        let is_servable = self.is_servable(&job.submission, &queue);
         let zone = match origin {
             Origin::Caller if !is_servable => self.best_remote_zone(0, now, |s| s.total_millicores),
             Origin::Caller => self.choose_remote_zone(&job, late, cpu, now),
             Origin::OtherZone | Origin::Deferred => None,
         };
         if let Some(zone) = zone {
-            return self.redirect_to_zone(key, id, zone, cpu, now);
+            return self.redirect_to_zone(&keys, id, zone, cpu, now);
         }
         let Some(end) = end.filter(|_| is_servable) else {
             return self.refuse(
@@ -247,6 +254,7 @@
             waiting_tasks: VecDeque::new(),
             start_sent: self.crash_history.has_suspects(submission.id),
             slow_target: None,
+            may_redirect: false,
             deferred: false,
             log_run_time_ratio: None,
             submission,
@@ -257,14 +265,19 @@
 
     /// Whether each step has a target that could run its tasks if it were idle.
     fn is_servable(&self, submission: &JobSubmission, queue: &Queue) -> bool {
-        let can_run = |step: &Step, target: &Target| {
+        let mut steps = submission.steps.iter().filter(|step| step.count > 0);
+        steps.all(|step| self.has_target_for(step, queue))
+    }
+
+    /// Whether a target could run tasks of a step if it were idle.
+    pub(super) fn has_target_for(&self, step: &Step, queue: &Queue) -> bool {
+        self.targets.values().any(|target| {
             target.info.pool == queue.pool
                 && !target.info.draining
+                && !self.is_evacuated(target)
                 && step.needs.fits_in(target.info.capacity)
                 && step.required.as_ref().is_none_or(|label| target.info.has_label(label))
-        };
-        let mut steps = submission.steps.iter().filter(|step| step.count > 0);
-        steps.all(|step| self.targets.values().any(|target| can_run(step, target)))
+        })
     }
 
     /// Returns the zone that a job should be redirected to, if any. `cpu` is what all tasks of the
@@ -300,16 +313,26 @@
     where
         F: Fn(SpareCpu) -> u64,
     {
-        let qualifies = |zone: &RemoteZone| {
-            now - zone.updated_at <= MAX_REMOTE_ZONE_AGE && spare_of(zone.spare) >= min_spare
-        };
-        let candidates = self.remote_zones.iter().filter(|(_, zone)| qualifies(zone));
+        let candidates =
+            self.redirect_targets(now).filter(|(_, zone)| spare_of(zone.spare) >= min_spare);
         candidates.max_by_key(|(_, zone)| spare_of(zone.spare)).map(|(name, _)| name.clone())
     }
 
-    fn redirect_to_zone(
+    /// Returns the zones to which jobs may be redirected: those that reported recently and are not
+    /// evacuated.
+    pub(super) fn redirect_targets(
+        &self,
+        now: Moment,
+    ) -> impl Iterator<Item = (&ZoneName, &RemoteZone)> {
+        self.remote_zones.iter().filter(move |(name, zone)| {
+            now - zone.updated_at <= MAX_REMOTE_ZONE_AGE && !self.is_zone_evacuated(name)
+        })
+    }
+
+    /// Redirects all submissions of a job to the same zone, so that they join one job there.
+    pub(super) fn redirect_to_zone(
         &mut self,
-        key: SubmissionKey,
+        keys: &[SubmissionKey],
         id: CallerJobId,
         zone: ZoneName,
         cpu: u64,
@@ -323,17 +346,24 @@
         let to = remote.address;
         self.counts.redirected += 1;
         self.log(LogEvent::Redirected { id, zone: zone.clone(), local_spare, remote_spare, age });
-        self.actions.push(Action::Redirect { key, zone, to });
+        let redirect = |&key: &SubmissionKey| Action::Redirect { key, zone: zone.clone(), to };
+        self.actions.extend(keys.iter().map(redirect));
     }
 
-    fn log_refusal(&mut self, job: JobLabel, refusal: Refusal, expected: Duration, age: Duration) {
+    pub(super) fn log_refusal(
+        &mut self,
+        job: JobLabel,
+        refusal: Refusal,
+        expected: Duration,
+        age: Duration,
+    ) {
         let waiting = self.queued_jobs.len();
         let now = self.last_call_at;
         let usable = self.targets.values().filter(|t| self.is_usable(t, now)).count();
         self.log(LogEvent::Refused { job, refusal, expected, age, waiting, usable });
     }
 
-    fn refuse(
+    pub(super) fn refuse(
         &mut self,
         keys: &[SubmissionKey],
         submission: &JobSubmission,
@@ -380,6 +410,10 @@
         let ranks: Vec<Rank> = self.queued_jobs.iter().copied().collect();
         for rank in ranks {
             let Some(job) = self.jobs.get(&rank.key) else { continue };
+            // The forecast has no slots for the jobs that may still use evacuated targets.
+            if self.finishes_in_evacuated_zone(job, now) {
+                continue;
+            }
             let mut with_job = forecast.clone();
             let waiting_end = self.schedule_waiting(&mut with_job, job, now);
             let is_in_time = |end: Moment| end + ANSWER_LATENCY <= job.latest_end();
--- a/src/coordination/dispatch/forecast.rs
+++ b/src/coordination/dispatch/forecast.rs
@@ -74,8 +74,12 @@
                 forecast.add_slot(bucket, now);
             }
         }
-        let being_taken_over =
-            |t: &&Target| !t.taken_over && t.unresponsive_since.is_none() && !t.info.draining;
+        let being_taken_over = |t: &&Target| {
+            !t.taken_over
+                && t.unresponsive_since.is_none()
+                && !t.info.draining
+                && !self.is_evacuated(t)
+        };
         for target in self.targets.values().filter(being_taken_over) {
             for _ in 0..target.info.capacity.cpu.0 / slot_cpu.max(1) {
                 forecast.add_slot(SlownessBucket::new(1.0), now + TAKEOVER_DURATION);
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -75,6 +75,8 @@
     pub start_sent: bool,
     /// Last target on which a run of the job was slow.
     pub slow_target: Option<TargetId>,
+    /// Whether it may be redirected to another zone while nothing of it was started.
+    pub may_redirect: bool,
     /// Whether its admission was deferred, so that its caller has waited and it may have run.
     pub deferred: bool,
     /// Logarithm of [`Job::run_time_ratio`]; `None` before the first observation.
--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -210,6 +210,22 @@
         /// New state; completes the log line "the target is ...".
         state: &'static str,
     },
+    /// The evacuation of a zone was learned.
+    EvacuationBegan {
+        /// Zone that is evacuated.
+        zone: ZoneName,
+        /// Number of open jobs that have begun.
+        begun: usize,
+        /// Number of open jobs of which no start was sent.
+        waiting: usize,
+    },
+    /// The end of the evacuation of a zone was learned.
+    EvacuationEnded {
+        /// Zone that serves again.
+        zone: ZoneName,
+        /// Time since the evacuation was learned.
+        after: Duration,
+    },
     /// The process was suspended; all open jobs are abandoned.
     Suspended {
         /// Time between the calls before and after the suspension.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod admission;
 pub mod crashes;
+pub mod evacuation;
 pub mod forecast;
 pub mod job;
 pub mod log_event;
@@ -33,6 +34,7 @@
     token_bucket::TokenBucket,
 };
 use derive_more::{Add, Display};
+use evacuation::Evacuations;
 use indexmap::{IndexMap, IndexSet};
 use job::Job;
 pub use log_event::{JobLabel, LogEvent, Outlook};
@@ -165,6 +167,8 @@
     pub refused: u64,
     /// Jobs redirected to another zone.
     pub redirected: u64,
+    /// Jobs redirected to another zone because this one is evacuated.
+    pub evacuation_redirects: u64,
     /// Jobs of which every task succeeded.
     pub completed: u64,
     /// Jobs answered with an unknown outcome, since they may have run.
@@ -209,6 +213,7 @@
     /// Submissions that wait until earlier runs of their tasks are closed.
     deferred: Vec<DeferredSubmission>,
     remote_zones: IndexMap<ZoneName, RemoteZone>,
+    evacuations: Evacuations,
     /// Targets that were lost under tasks.
     crash_history: CrashHistory,
     /// Tokens for starts of tasks that are main suspects of a crash; a crash uses one up.
@@ -254,6 +259,7 @@
             orphaned_runs: IndexMap::new(),
             deferred: Vec::new(),
             remote_zones: IndexMap::new(),
+            evacuations: Evacuations::default(),
             crash_history: CrashHistory::default(),
             crash_tokens: TokenBucket::new(0.0, 1.0),
             run_times: RunTimeEstimator::with_worker_weight(KIND_SLOWNESS_WEIGHT),
@@ -302,9 +308,11 @@
         self.jobs.len() + self.deferred.len()
     }
 
-    /// Number of targets that are taken over and respond.
+    /// Number of targets that are taken over, respond and are not evacuated.
     pub fn usable_targets(&self) -> usize {
-        self.targets.values().filter(|t| t.taken_over && t.unresponsive_since.is_none()).count()
+        let is_counted =
+            |t: &&Target| t.taken_over && t.unresponsive_since.is_none() && !self.is_evacuated(t);
+        self.targets.values().filter(is_counted).count()
     }
 
     /// Replaces the fleet configuration, unless the current version is the same or higher.
@@ -372,6 +380,7 @@
         self.check_suspension(now);
         self.expire_jobs(now);
         self.expire_losses(now);
+        self.release_evacuated_jobs(now);
         self.shed_late_jobs(now);
         self.check_targets(now);
         self.check_runs(now);
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -89,6 +89,7 @@
         for info in list {
             self.update_target(info, now);
         }
+        self.on_targets_listed(list, now);
         self.start_waiting_tasks(now);
     }
 
@@ -184,8 +185,13 @@
             && now - self.created_at <= LIST_READ_TIMEOUT
     }
 
-    /// Whether tasks may be started on a target.
+    /// Whether tasks of any job may be started on a target.
     pub(super) fn is_usable(&self, target: &Target, now: Moment) -> bool {
+        self.is_available(target, now) && !self.is_evacuated(target)
+    }
+
+    /// Whether a target can be given tasks, apart from an evacuation of its zone.
+    pub(super) fn is_available(&self, target: &Target, now: Moment) -> bool {
         let current = self.list_status.is_current || now - self.created_at > LIST_READ_TIMEOUT;
         current
             && target.taken_over
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -206,7 +206,8 @@
     fn is_eligible(&self, job: &Job, step: &Step, target: &Target, now: Moment) -> bool {
         let pool = self.config.queue(&job.submission.queue).map(|queue| &queue.pool);
         pool == Some(&target.info.pool)
-            && self.is_usable(target, now)
+            && self.is_available(target, now)
+            && self.permits_start(job, target, now)
             && step.needs.fits_in(target.info.capacity)
             && step.required.as_ref().is_none_or(|label| target.info.has_label(label))
     }
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -162,7 +162,8 @@
     /// later. Since a repeated start has no further effect there, the request is sent again once;
     /// if that has no answer either, the run is stopped.
     fn on_unanswered_start(&mut self, id: &TargetId, task: TaskId, now: Moment) {
-        let repeats_starts = self.enables(Mechanism::RepeatedStarts);
+        let repeats_starts =
+            self.enables(Mechanism::RepeatedStarts) && self.permits_repeated_start(id, task, now);
         let Some(target) = self.targets.get_mut(id) else { return };
         let is_unresponsive = target.unresponsive_since.is_some();
         let Some(run) = target.runs.get_mut(&task) else { return };
--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -62,6 +62,7 @@
         LogEvent::Ejected { .. } => "set aside",
         LogEvent::Unresponsive { .. } => "unresponsive",
         LogEvent::TargetStateChanged { .. } => "target",
+        LogEvent::EvacuationBegan { .. } | LogEvent::EvacuationEnded { .. } => "evacuation",
         LogEvent::Suspended { .. } => "woke",
     }
 }
@@ -132,6 +133,12 @@
         LogEvent::TargetStateChanged { target, state } => {
             log::info!("targets: {target} is {state}")
         }
+        LogEvent::EvacuationBegan { zone, begun, waiting } => {
+            log::warn!("dispatch: zone {zone} is evacuated, begun={begun} waiting={waiting}");
+        }
+        LogEvent::EvacuationEnded { zone, after } => {
+            log::warn!("dispatch: evacuation of zone {zone} ended after {after:?}");
+        }
         LogEvent::Suspended { gap } => log::warn!("dispatch: process was suspended for {gap:?}"),
     }
 }
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -160,6 +160,11 @@
         ("dispatch_admitted", "Jobs let in", counts.admitted),
         ("dispatch_refused", "Jobs refused", counts.refused),
         ("dispatch_passed", "Jobs passed to another zone", counts.redirected),
+        (
+            "evacuation_redirects",
+            "Jobs redirected to another zone because theirs is evacuated",
+            counts.evacuation_redirects,
+        ),
         ("dispatch_completed", "Jobs completed", counts.completed),
         ("dispatch_unknown", "Jobs given up that may have run", counts.unknown),
         ("starts", "Starts sent", counts.starts),
--- /dev/null
+++ b/tests/dispatch/evacuation.rs
@@ -0,0 +1,346 @@
+//! Evacuation of zones: what is started, redirected and refused meanwhile.
+
+use crate::simulation::{LONG, Simulation, URGENT, config, ms, submission};
+use cranberrytray::{
+    coordination::dispatch::{
+        Action, LogEvent, SpareCpu, SubmissionKey, ownership::TargetListStatus, replies::StartReply,
+    },
+    state::{
+        job_submission::{JobSubmission, Outcome, Refusal},
+        time::Moment,
+    },
+};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// Zone of the simulated targets.
+const ZONE: &str = "zone";
+/// Time for which begun jobs may start their remaining tasks.
+const GRACE: Duration = Duration::from_millis(400);
+/// Interval of the ticks, in which jobs are answered.
+const TICK: Duration = Duration::from_millis(25);
+
+fn address(zone: &str) -> SocketAddr {
+    ([127, 0, 0, 1], 9_900 + u16::from(zone.as_bytes()[0])).into()
+}
+
+fn report_spare_cpu(sim: &mut Simulation, zone: &str, total_millicores: u64) {
+    let spare = SpareCpu { total_millicores, fast_millicores: 0 };
+    sim.dispatcher.update_remote_zone(zone.parse().unwrap(), address(zone), spare, sim.now);
+}
+
+/// A simulation whose long jobs may wait until earlier ones have ended.
+fn patient_simulation(targets: usize) -> Simulation {
+    let mut sim = Simulation::new(targets).take_over();
+    let mut patient = config(2);
+    for queue in &mut patient.queues {
+        (queue.objective_factor, queue.timeout) = (3.0, ms(5_000));
+    }
+    sim.dispatcher.set_config(Arc::new(patient));
+    sim
+}
+
+fn long_job(id: u64, count: u32, declared: Duration) -> JobSubmission {
+    JobSubmission { time_to_deadline: ms(5_000), ..submission(id, LONG, count, declared) }
+}
+
+/// Submits the job of a caller, which may be redirected.
+fn submit_from_caller(sim: &mut Simulation, job: JobSubmission) -> SubmissionKey {
+    sim.submit_with(job, true, false)
+}
+
+/// Submits short jobs of one task and returns how many of them were redirected to a zone.
+fn count_redirects(sim: &mut Simulation, ids: std::ops::Range<u64>, zone: &str) -> usize {
+    let before = sim.redirected.len();
+    for id in ids {
+        submit_from_caller(sim, submission(id, URGENT, 1, ms(60)));
+    }
+    sim.redirected[before..].iter().filter(|(_, to)| *to == address(zone)).count()
+}
+
+/// Whether a job was refused as not run, with a retry delay and without waiting.
+fn is_refused_at_once(sim: &Simulation, key: SubmissionKey, submitted_at: Moment) -> bool {
+    matches!(
+        sim.answers.get(&key),
+        Some((Outcome::NotRun { refusal: Refusal::NoTarget, retry_after }, at))
+            if *retry_after >= ms(300) && *at == submitted_at
+    )
+}
+
+/// Guards against starts in a zone after an operator has evacuated it, against running tasks that are
+/// stopped, and against jobs that come back from another zone and wait in vain.
+#[test]
+fn evacuated_zone_starts_nothing_and_keeps_its_runs() {
+    let mut sim = Simulation::new(2).take_over();
+    let running = sim.submit(submission(1, LONG, 2, ms(700)));
+    sim.run(ms(50));
+    report_spare_cpu(&mut sim, "b", 64_000);
+    let starts = sim.start_count();
+    sim.set_evacuated_zones(&[ZONE]);
+    let redirected = submit_from_caller(&mut sim, submission(2, URGENT, 2, ms(60)));
+    let came_back = sim.submit(submission(2, URGENT, 2, ms(60)));
+    assert_eq!(sim.redirected, [(redirected, address("b"))]);
+    assert!(is_refused_at_once(&sim, came_back, sim.now));
+    assert_eq!(sim.dispatcher.spare_cpu(sim.now), SpareCpu::default());
+    assert_eq!(sim.dispatcher.usable_targets(), 0);
+    sim.run(ms(800));
+    assert_eq!(sim.outcome(running), Some(Outcome::Completed));
+    assert_eq!(sim.start_count(), starts);
+    assert_eq!(sim.dispatcher.counts().evacuation_redirects, 1);
+    sim.set_evacuated_zones(&[]);
+    let served = submit_from_caller(&mut sim, submission(3, URGENT, 2, ms(60)));
+    sim.run(ms(100));
+    assert_eq!(sim.outcome(served), Some(Outcome::Completed));
+    let zone = || ZONE.parse().unwrap();
+    let began = LogEvent::EvacuationBegan { zone: zone(), begun: 1, waiting: 0 };
+    let ended = LogEvent::EvacuationEnded { zone: zone(), after: ms(800) };
+    let is_evacuation = |event: &&LogEvent| **event == began || **event == ended;
+    assert_eq!(sim.log.iter().map(|(_, event)| event).filter(is_evacuation).count(), 2);
+}
+
+/// Guards against starts on targets of an evacuated zone while other targets of the dispatcher are
+/// usable, and against refusals of jobs that these could run.
+#[test]
+fn targets_of_other_zones_are_used() {
+    let mut sim = Simulation::new(3);
+    sim.change_target(0, |info| info.zone = "a".parse().unwrap());
+    let mut sim = sim.take_over();
+    sim.set_evacuated_zones(&["a"]);
+    let keys: Vec<_> = (0..6).map(|id| sim.submit(submission(id, URGENT, 1, ms(60)))).collect();
+    sim.run(ms(300));
+    let completed = keys.iter().filter(|key| sim.outcome(**key) == Some(Outcome::Completed));
+    assert_eq!((completed.count(), sim.target(0).starts.len()), (keys.len(), 0));
+}
+
+/// Guards against redirects that all go to the zone with the most spare CPU, also after its spare CPU is
+/// used up and after each new report.
+#[test]
+fn redirects_are_spread_by_spare_cpu() {
+    let mut sim = Simulation::new(1).take_over();
+    sim.set_evacuated_zones(&[ZONE]);
+    report_spare_cpu(&mut sim, "b", 420_000);
+    report_spare_cpu(&mut sim, "c", 140_000);
+    let to_c = count_redirects(&mut sim, 0..20, "c");
+    assert!((4..=7).contains(&to_c), "{to_c} of 20");
+    // The spare CPU that is left suffices for 20 jobs. The zones then get equally many in all.
+    let to_c = to_c + count_redirects(&mut sim, 20..100, "c");
+    assert!((45..=55).contains(&to_c), "{to_c} of 100");
+    let mut to_c = 0;
+    for id in 100..110 {
+        report_spare_cpu(&mut sim, "b", 0);
+        report_spare_cpu(&mut sim, "c", 0);
+        to_c += count_redirects(&mut sim, id..id + 1, "c");
+        sim.run(ms(100));
+    }
+    assert!((4..=6).contains(&to_c), "{to_c} of 10");
+    let redirects = sim.dispatcher.counts();
+    assert_eq!((redirects.evacuation_redirects, redirects.redirected), (110, 110));
+}
+
+/// Guards against a successor that starts tasks since it only learns of evacuations after it has begun,
+/// and against deferred jobs that it redirects although they may have run.
+#[test]
+fn successor_starts_nothing_in_an_evacuated_zone() {
+    let mut sim = Simulation::new(2).take_over();
+    sim.submit(submission(1, LONG, 2, ms(700)));
+    sim.run(ms(50));
+    let starts = sim.start_count();
+    sim.set_evacuated_zones(&[ZONE]);
+    sim.list_status = TargetListStatus::default();
+    sim.replace_dispatcher();
+    report_spare_cpu(&mut sim, "b", 64_000);
+    let resumed = sim.submit_with(submission(1, LONG, 2, ms(700)), false, true);
+    sim.run(ms(50));
+    sim.list_status = TargetListStatus { is_current: true, is_complete: true };
+    sim.publish_targets();
+    let new = submit_from_caller(&mut sim, submission(2, URGENT, 2, ms(60)));
+    sim.run(ms(1_400));
+    assert_eq!(sim.redirected, [(new, address("b"))]);
+    assert!(matches!(sim.outcome(resumed), Some(Outcome::NotRun { .. })));
+    assert_eq!(sim.start_count(), starts);
+}
+
+/// Guards against jobs that wait in an evacuated zone until their deadline, against submissions of a
+/// redirected job that get no answer or go to different zones, and against a second redirect of a job.
+#[test]
+fn waiting_jobs_are_redirected_or_refused() {
+    let mut sim = patient_simulation(1);
+    let running = sim.submit(long_job(1, 2, ms(300)));
+    let first = submit_from_caller(&mut sim, long_job(2, 1, ms(300)));
+    let second = submit_from_caller(&mut sim, long_job(2, 1, ms(300)));
+    let from_other_zone = sim.submit(long_job(3, 1, ms(300)));
+    let joined = [true, false]
+        .map(|may_redirect| sim.submit_with(long_job(4, 1, ms(300)), may_redirect, false));
+    sim.run(ms(100));
+    assert_eq!(sim.dispatcher.open_jobs(), 4);
+    report_spare_cpu(&mut sim, "b", 64_000);
+    report_spare_cpu(&mut sim, "c", 64_000);
+    sim.set_evacuated_zones(&[ZONE]);
+    let [(to_first, zone), (to_second, same_zone)] = sim.redirected[..] else {
+        panic!("{:?}", sim.redirected)
+    };
+    assert_eq!(([to_first, to_second], zone), ([first, second], same_zone));
+    assert!(is_refused_at_once(&sim, from_other_zone, sim.now));
+    assert!(joined.iter().all(|key| is_refused_at_once(&sim, *key, sim.now)));
+    assert_eq!(sim.dispatcher.counts().evacuation_redirects, 1);
+    sim.run(ms(300));
+    assert_eq!(sim.outcome(running), Some(Outcome::Completed));
+    assert_eq!((sim.start_count(), sim.dispatcher.open_jobs()), (2, 0));
+}
+
+/// Guards against giving up jobs that need only some milliseconds more in an evacuated zone.
+#[test]
+fn begun_job_is_completed_within_the_grace_time() {
+    let mut sim = patient_simulation(1);
+    let key = sim.submit(long_job(1, 4, ms(300)));
+    sim.run(ms(50));
+    sim.set_evacuated_zones(&[ZONE]);
+    let other = sim.submit(submission(2, URGENT, 1, ms(60)));
+    assert!(is_refused_at_once(&sim, other, sim.now));
+    sim.run(ms(600));
+    assert_eq!((sim.outcome(key), sim.start_count()), (Some(Outcome::Completed), 4));
+}
+
+/// Guards against starts of a begun job later than the operator may expect, and against callers that wait
+/// for tasks and steps that are never started. The same set again doesn't prolong the time.
+#[test]
+fn begun_job_is_unknown_after_the_grace_time() {
+    let mut two_steps = long_job(1, 1, ms(500));
+    two_steps.steps.push(two_steps.steps[0].clone());
+    two_steps.steps[1].after = vec![0];
+    for job in [long_job(1, 4, ms(500)), two_steps] {
+        let mut sim = patient_simulation(1);
+        let key = sim.submit(job);
+        sim.run(ms(50));
+        let (starts, learned_at) = (sim.start_count(), sim.now);
+        sim.set_evacuated_zones(&[ZONE]);
+        sim.run(ms(300));
+        assert_eq!(sim.outcome(key), None);
+        sim.set_evacuated_zones(&[ZONE, "b"]);
+        sim.run(ms(1_000));
+        let (outcome, at) = sim.answers[&key];
+        assert_eq!((outcome, sim.start_count()), (Outcome::Unknown, starts));
+        assert!((GRACE..=GRACE + TICK).contains(&(at - learned_at)), "{:?}", at - learned_at);
+    }
+}
+
+/// Guards against a repeated start request that starts a run after the grace time: the first one may not
+/// have arrived.
+#[test]
+fn unanswered_start_is_not_repeated_after_the_grace_time() {
+    for (wait, is_repeated) in [(ms(100), true), (GRACE, false)] {
+        let mut sim = Simulation::new(1).take_over();
+        sim.dispatcher.submit(submission(1, LONG, 1, ms(700)), false, false, sim.now);
+        let actions = sim.dispatcher.take_actions();
+        let start = actions.iter().find_map(|action| match action {
+            Action::Start { request, .. } => Some(request.clone()),
+            _ => None,
+        });
+        let start = start.expect("a task is started");
+        sim.set_evacuated_zones(&[ZONE]);
+        sim.run(wait);
+        let reply = StartReply::Unknown;
+        sim.dispatcher.on_start_reply(&start.target, start.task, start.run, reply, sim.now);
+        let actions = sim.dispatcher.take_actions();
+        let repeated = actions.iter().any(|action| matches!(action, Action::Start { .. }));
+        assert_eq!(repeated, is_repeated, "{wait:?}");
+    }
+}
+
+/// Guards against redirects to a zone that is evacuated too, also by a zone that is not.
+#[test]
+fn jobs_are_not_redirected_to_evacuated_zones() {
+    let mut sim = Simulation::new(1).take_over();
+    report_spare_cpu(&mut sim, "b", 640_000);
+    report_spare_cpu(&mut sim, "c", 64_000);
+    sim.set_evacuated_zones(&[ZONE, "b"]);
+    assert_eq!(count_redirects(&mut sim, 0..10, "c"), 10);
+    sim.set_evacuated_zones(&["b", "c"]);
+    let full = submission(10, LONG, 2, ms(900));
+    let queued = submission(11, URGENT, 2, ms(60));
+    let keys = [full, queued].map(|job| submit_from_caller(&mut sim, job));
+    assert_eq!(sim.redirected.len(), 10);
+    assert_eq!(sim.outcome(keys[0]), None);
+}
+
+/// Guards against jobs that wait or are sent round while every zone is evacuated.
+#[test]
+fn jobs_are_refused_while_all_zones_are_evacuated() {
+    let mut sim = Simulation::new(2).take_over();
+    report_spare_cpu(&mut sim, "b", 64_000);
+    report_spare_cpu(&mut sim, "c", 64_000);
+    sim.set_evacuated_zones(&[ZONE, "b", "c"]);
+    let key = submit_from_caller(&mut sim, submission(1, URGENT, 2, ms(60)));
+    assert!(is_refused_at_once(&sim, key, sim.now));
+    assert_eq!((sim.redirected.len(), sim.start_count()), (0, 0));
+}
+
+/// Guards against redirects to zones that can't be reached: a zone that is cut off knows no other zone,
+/// or only old reports.
+#[test]
+fn jobs_of_a_cut_off_zone_are_refused() {
+    for has_old_report in [false, true] {
+        let mut sim = Simulation::new(2).take_over();
+        if has_old_report {
+            report_spare_cpu(&mut sim, "b", 64_000);
+            sim.run(ms(1_000));
+        }
+        sim.set_evacuated_zones(&[ZONE]);
+        let key = submit_from_caller(&mut sim, submission(1, URGENT, 2, ms(60)));
+        assert!(is_refused_at_once(&sim, key, sim.now));
+        assert_eq!((sim.redirected.len(), sim.start_count()), (0, 0));
+    }
+}
+
+/// Guards against redirects that all go to one zone once the targets of an evacuated zone are shut down.
+#[test]
+fn zone_without_targets_stays_evacuated() {
+    let mut sim = Simulation::new(2).take_over();
+    sim.set_evacuated_zones(&[ZONE]);
+    sim.dispatcher.update_targets(&[], sim.list_status, sim.now);
+    sim.run(ms(50));
+    report_spare_cpu(&mut sim, "b", 0);
+    report_spare_cpu(&mut sim, "c", 0);
+    assert_eq!(count_redirects(&mut sim, 0..10, "b"), 5);
+}
+
+/// Guards against a begun job that is answered by the time of an earlier evacuation, and against a second
+/// evacuation without effect.
+#[test]
+fn evacuation_that_is_requested_again_counts_anew() {
+    let mut sim = patient_simulation(1);
+    let key = sim.submit(long_job(1, 4, ms(600)));
+    sim.run(ms(50));
+    sim.set_evacuated_zones(&[ZONE]);
+    sim.run(ms(250));
+    sim.set_evacuated_zones(&[]);
+    sim.run(ms(50));
+    sim.set_evacuated_zones(&[ZONE]);
+    let refused = sim.submit(submission(2, URGENT, 1, ms(60)));
+    assert!(is_refused_at_once(&sim, refused, sim.now));
+    // The last two tasks start 550 ms after the first request and 250 ms after the second one.
+    sim.run(ms(900));
+    assert_eq!((sim.outcome(key), sim.start_count()), (Some(Outcome::Completed), 4));
+}
+
+/// Guards against a restart in an evacuated zone, and against a job that waits for it until its deadline.
+#[test]
+fn restart_in_an_evacuated_zone_is_made_only_in_the_grace_time() {
+    let cases = [(ms(100), Outcome::Completed, 2), (ms(500), Outcome::Unknown, 1)];
+    for (lost_after, outcome, starts) in cases {
+        let mut sim = Simulation::new(3).take_over();
+        let key = sim.submit(submission(1, LONG, 1, ms(700)));
+        sim.run(ms(50));
+        let learned_at = sim.now;
+        sim.set_evacuated_zones(&[ZONE]);
+        sim.run(lost_after);
+        let busy = (0..3).find(|&n| sim.target(n).running() > 0).unwrap();
+        let now = sim.now;
+        sim.target(busy).restart(now);
+        sim.run(ms(1_000));
+        assert_eq!((sim.outcome(key), sim.start_count()), (Some(outcome), starts));
+        if outcome == Outcome::Unknown {
+            let answered_after = sim.answers[&key].1 - learned_at;
+            assert!(answered_after <= lost_after + ms(200), "{answered_after:?}");
+        }
+    }
+}
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -15,7 +15,7 @@
         fleet_config::{
             FleetConfig, Label, Pool, PoolName, Priority, Queue, QueueName, RequestLimits,
         },
-        id::ConfigVersion,
+        id::{ConfigVersion, ZoneName},
         job_submission::{CallerJobId, JobSubmission, Outcome, Step, TaskId},
         resources::{Mebibytes, MilliCores, Resources},
         target::{FencingToken, RunOutcome, TargetId, TargetIncarnation, TargetInfo, TargetTime},
@@ -109,6 +109,8 @@
     pub fenced: Vec<(TargetId, bool)>,
     list: Vec<TargetInfo>,
     pub list_status: TargetListStatus,
+    /// Evacuated zones, which a successor knows as well.
+    evacuated_zones: IndexSet<ZoneName>,
     /// Bounds that the targets keep to.
     bounds: RunBounds,
     /// Tasks that crash each target that starts them.
@@ -139,6 +141,7 @@
             fenced: Vec::new(),
             list: (0..targets).map(target_info).collect(),
             list_status: TargetListStatus { is_current: true, is_complete: true },
+            evacuated_zones: IndexSet::new(),
             bounds,
             crashing_tasks: IndexSet::new(),
         };
@@ -169,6 +172,7 @@
         let config = Arc::new(config(2));
         self.dispatcher = Dispatcher::new(FencingToken(200), config, timing, self.now);
         self.dispatcher.merge_losses(reported, self.now);
+        self.dispatcher.set_evacuated_zones(&self.evacuated_zones, self.now);
         self.targets.values_mut().for_each(|target| target.is_watched = false);
         self.publish_targets();
     }
@@ -193,6 +197,13 @@
         self.publish_targets();
     }
 
+    /// Replaces the set of evacuated zones.
+    pub fn set_evacuated_zones(&mut self, zones: &[&str]) {
+        self.evacuated_zones = zones.iter().map(|zone| zone.parse().unwrap()).collect();
+        self.dispatcher.set_evacuated_zones(&self.evacuated_zones, self.now);
+        self.process_actions();
+    }
+
     pub fn target(&mut self, n: usize) -> &mut FakeTarget {
         self.targets.get_index_mut(n).unwrap().1
     }
