--- a/src/coordination/dispatch/forecast.rs
+++ b/src/coordination/dispatch/forecast.rs
@@ -70,7 +70,7 @@
             for run in target.runs.values() {
                 forecast.add_slot(bucket, run.expected_end.max(now + OVERDUE_EXTENSION));
             }
-            for _ in 0..target.free_resources().cpu.0 / slot_cpu.max(1) {
+            for _ in 0..target.free_slots(slot_cpu, now) {
                 forecast.add_slot(bucket, now);
             }
         }
@@ -81,7 +81,7 @@
                 && !self.is_evacuated(t)
         };
         for target in self.targets.values().filter(being_taken_over) {
-            for _ in 0..target.info.capacity.cpu.0 / slot_cpu.max(1) {
+            for _ in 0..target.usable_cpu(now).0 / slot_cpu.max(1) {
                 forecast.add_slot(SlownessBucket::new(1.0), now + TAKEOVER_DURATION);
             }
         }
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -337,7 +337,7 @@
     pub fn spare_cpu(&self, now: Moment) -> SpareCpu {
         let mut spare = SpareCpu::default();
         for target in self.targets.values().filter(|t| self.is_usable(t, now)) {
-            let cpu = target.free_resources().cpu.0;
+            let cpu = target.free_cpu(now).0;
             spare.total_millicores = spare.total_millicores.saturating_add(cpu);
             if self.target_slowness(target) <= MAX_FAST_SLOWNESS {
                 spare.fast_millicores = spare.fast_millicores.saturating_add(cpu);
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -108,6 +108,7 @@
         if info.incarnation < target.info.incarnation {
             return;
         }
+        target.cold.update(info, now);
         let is_new = info.incarnation > target.info.incarnation;
         let draining = info.draining || target.info.draining && !is_new;
         target.info = TargetInfo { draining, incarnation: target.info.incarnation, ..info.clone() };
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -139,7 +139,7 @@
         let avoided = failed_on.filter(|failed_on| has_other(failed_on));
         let fits = |t: &&Target| {
             avoided != Some(&t.info.id)
-                && step.needs.fits_in(t.free_resources())
+                && step.needs.fits_in(t.startable_resources(now))
                 && self.is_eligible(job, step, t, now)
                 && !self.hosts_suspect(t)
                 && !t.runs.contains_key(&task)
@@ -160,7 +160,7 @@
                 return None;
             }
             let in_time = now + (run_time + chain_after).mul_f64(safety_factor) <= job.objective;
-            let cpu_left = t.free_resources().saturating_sub(step.needs).cpu.0;
+            let cpu_left = t.startable_resources(now).saturating_sub(step.needs).cpu.0;
             let runs_at_risk = if is_suspect { t.runs.len() } else { 0 };
             Some(Candidate { id: t.info.id.clone(), run_time, in_time, cpu_left, runs_at_risk })
         });
@@ -190,7 +190,7 @@
     ) -> bool {
         let Some(job) = self.jobs.get(&key) else { return false };
         let is_busy = |t: &&Target| {
-            self.is_eligible(job, step, t, now) && !step.needs.fits_in(t.free_resources())
+            self.is_eligible(job, step, t, now) && !step.needs.fits_in(t.startable_resources(now))
         };
         self.targets.values().filter(is_busy).any(|t| {
             let run_time = self
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -399,7 +399,8 @@
         }
         for (key, task, duration, run) in projections {
             let expected = run.expected_duration.as_secs_f64().max(1e-3);
-            if learns_run_times && let Some(job) = self.jobs.get_mut(&key) {
+            let learns = learns_run_times && !self.was_cold(id, &run, now);
+            if learns && let Some(job) = self.jobs.get_mut(&key) {
                 job.learn_run_time_ratio(duration.as_secs_f64() / expected);
             }
             if self.check_target_speed(key, task, id, &run, duration, now)
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -253,7 +253,8 @@
         run: &Run,
         now: Moment,
     ) {
-        let learns_run_times = self.enables(Mechanism::JobRunTimes);
+        let learns_run_times =
+            self.enables(Mechanism::JobRunTimes) && !self.was_cold(target_id, run, now);
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let Some(task_state) = job.tasks.get_mut(&task) else { return };
         task_state.target = None;
@@ -315,6 +316,9 @@
         if run.start_attempts > 1 || is_lossy || !self.enables(Mechanism::SlowRunFaults) {
             return false; // Neither the start nor the end of the run is known well.
         }
+        if self.was_cold(target_id, run, now) {
+            return false;
+        }
         let Some(job) = self.jobs.get(&key) else { return false };
         let Some(step) = job.step(task) else { return false };
         let Some(target) = self.targets.get(target_id) else { return false };
@@ -347,6 +351,13 @@
         true
     }
 
+    /// Whether a run that began on a target and goes on until `now` was slowed down at some time
+    /// because its target was cold. Such a run shows nothing of the usual speed of the target.
+    pub(super) fn was_cold(&self, target_id: &TargetId, run: &Run, now: Moment) -> bool {
+        let target = self.targets.get(target_id);
+        target.is_some_and(|target| target.cold.overlaps(run.start_sent_at, now))
+    }
+
     fn learn_run_time(
         &mut self,
         queue: &crate::state::fleet_config::QueueName,
@@ -358,6 +369,9 @@
         if run.start_attempts > 1 {
             return; // It is unknown which of the start requests began the run.
         }
+        if self.was_cold(target_id, run, now) {
+            return;
+        }
         let Some(kind) = self.targets.get(target_id).map(|t| t.info.kind.clone()) else { return };
         let took = (now - run.start_sent_at).as_secs_f64();
         let declared = self.declared_ms(declared);
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -4,7 +4,7 @@
     fleet_config::{Label, PoolName},
     id::ZoneName,
     job_submission::{RunNumber, TaskId},
-    resources::Resources,
+    resources::{MilliCores, Resources},
     time::Moment,
 };
 use derive_more::{Display, From};
@@ -16,6 +16,9 @@
 /// so that the run's lease expires if no stop request arrives. Twice the usual request timeout.
 const STOP_CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Share of a target's CPU that is usable when the target has just become cold.
+const MIN_COLD_SHARE: f64 = 0.25;
+
 /// Name of a target, unique on the platform.
 #[derive(
     Clone, Debug, Display, From, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -78,6 +81,9 @@
     pub labels: Vec<Label>,
     /// Whether the target is shutting down and must get no new tasks.
     pub draining: bool,
+    /// Time for which the target remains slow, as of the list entry; zero if it is not cold.
+    #[serde(default)]
+    pub cold_for: Duration,
 }
 
 impl TargetInfo {
@@ -255,6 +261,57 @@
     pub ejection_duration: Duration,
 }
 
+/// The last period in which a target was cold, and therefore slow.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ColdPeriod {
+    /// Incarnation and remaining cold time of the list entry that was applied last. The same entry
+    /// is listed again whenever another target changes, which doesn't prolong the period.
+    entry: (TargetIncarnation, Duration),
+    since: Moment,
+    until: Moment,
+}
+
+impl ColdPeriod {
+    /// Applies a list entry. An entry of the same incarnation with less time left adjusts the end
+    /// of the current period; any other change to a cold target begins a new one.
+    pub fn update(&mut self, info: &TargetInfo, now: Moment) {
+        let entry = (info.incarnation, info.cold_for);
+        if entry == self.entry {
+            return;
+        }
+        let (incarnation, cold_for) = std::mem::replace(&mut self.entry, entry);
+        if info.cold_for.is_zero() {
+            self.until = self.until.min(now);
+            return;
+        }
+        let is_countdown = info.incarnation == incarnation && info.cold_for < cold_for;
+        if !(is_countdown && self.is_cold(now)) {
+            self.since = now;
+        }
+        self.until = now + info.cold_for;
+    }
+
+    /// Whether the target is cold.
+    pub fn is_cold(&self, now: Moment) -> bool {
+        now < self.until
+    }
+
+    /// Whether the time from `start` to `end` overlaps the period.
+    pub fn overlaps(&self, start: Moment, end: Moment) -> bool {
+        start < self.until && end > self.since
+    }
+
+    /// Usable share of the target's CPU: [`MIN_COLD_SHARE`] at the beginning of the period, from
+    /// where it rises linearly to 1 at its end.
+    pub fn usable_share(&self, now: Moment) -> f64 {
+        if !self.is_cold(now) {
+            return 1.0;
+        }
+        let elapsed = (now - self.since).as_secs_f64() / (self.until - self.since).as_secs_f64();
+        MIN_COLD_SHARE + (1.0 - MIN_COLD_SHARE) * elapsed
+    }
+}
+
 /// A target that this dispatcher owns or is taking over from an earlier one.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -299,11 +356,15 @@
     pub no_starts_until: Moment,
     /// Whether the platform's list contains the target.
     pub listed: bool,
+    /// Last period in which the target was cold.
+    pub cold: ColdPeriod,
 }
 
 impl Target {
     /// Creates a target of which only its list entry is known, and which is to be taken over.
     pub fn new(info: TargetInfo, now: Moment) -> Self {
+        let mut cold = ColdPeriod::default();
+        cold.update(&info, now);
         Target {
             info,
             taken_over: false,
@@ -324,6 +385,7 @@
             observed_runs: 0,
             no_starts_until: Moment::ZERO,
             listed: true,
+            cold,
         }
     }
 
@@ -332,6 +394,33 @@
         self.info.capacity.saturating_sub(self.used)
     }
 
+    /// CPU of the target that may be used now; less than its capacity while it is cold.
+    pub fn usable_cpu(&self, now: Moment) -> MilliCores {
+        if !self.cold.is_cold(now) {
+            return self.info.capacity.cpu;
+        }
+        MilliCores((self.info.capacity.cpu.0 as f64 * self.cold.usable_share(now)) as u64)
+    }
+
+    /// CPU of the target that may be used now and that no run occupies.
+    pub fn free_cpu(&self, now: Moment) -> MilliCores {
+        MilliCores(self.usable_cpu(now).0.saturating_sub(self.used.cpu.0))
+    }
+
+    /// Resources that one more task may take now. A target without runs offers all of them also
+    /// while it is cold, so that tasks that need more than the usable share aren't kept waiting.
+    pub fn startable_resources(&self, now: Moment) -> Resources {
+        let free = self.free_resources();
+        if self.runs.is_empty() { free } else { Resources { cpu: self.free_cpu(now), ..free } }
+    }
+
+    /// Number of tasks that need `task_cpu` thousandths of a core each and may be started now.
+    pub fn free_slots(&self, task_cpu: u64, now: Moment) -> u64 {
+        let task_cpu = task_cpu.max(1);
+        let first = self.startable_resources(now).cpu.0 / task_cpu;
+        (self.free_cpu(now).0 / task_cpu).max(first.min(1))
+    }
+
     /// Latest time at which a lease that this dispatcher granted on the target may expire.
     pub fn latest_lease_end(&self) -> Moment {
         let starts = self.runs.values().filter_map(|run| run.pending_lease_end);
--- a/tests/dispatch/evacuation.rs
+++ b/tests/dispatch/evacuation.rs
@@ -1,4 +1,5 @@
-//! Evacuation of zones: what is started, redirected and refused meanwhile.
+//! Evacuation of zones: what is started, redirected and refused meanwhile, and the return of work to
+//! cold targets.
 
 use crate::simulation::{LONG, Simulation, URGENT, config, ms, submission};
 use cranberrytray::{
@@ -344,3 +345,81 @@
         }
     }
 }
+
+/// Submits a job of eight tasks, cancels it, and returns how many of them were started at once.
+fn tasks_started_at_once(sim: &mut Simulation, id: u64) -> usize {
+    let key = submit_from_caller(sim, submission(id, URGENT, 8, ms(60)));
+    let running = (0..sim.targets.len()).map(|n| sim.target(n).running()).sum();
+    sim.dispatcher.cancel(key, sim.now);
+    sim.process_actions();
+    sim.run(ms(100));
+    running
+}
+
+fn set_cold(sim: &mut Simulation, cold_for: Duration) {
+    (0..sim.targets.len()).for_each(|n| sim.change_target(n, |info| info.cold_for = cold_for));
+}
+
+/// Guards against the full load on targets that have just come back and are slow, against a cold target
+/// that gets nothing since no task fits into its usable share, and against a cold time without end:
+/// the same entry is listed again, and the platform counts its time down.
+#[test]
+fn work_returns_gradually_to_cold_targets() {
+    for is_counted_down in [false, true] {
+        let mut sim = Simulation::new(4).take_over();
+        sim.set_evacuated_zones(&[ZONE]);
+        sim.run(ms(1_000));
+        set_cold(&mut sim, ms(4_000));
+        sim.set_evacuated_zones(&[]);
+        assert_eq!(sim.dispatcher.spare_cpu(sim.now).total_millicores, 4 * 8_000);
+        // Two tasks fit on a target of which 28 of 32 cores are usable, after 3,333 ms.
+        assert_eq!(tasks_started_at_once(&mut sim, 1), 4);
+        sim.run(ms(1_900));
+        let remaining = if is_counted_down { ms(2_000) } else { ms(4_000) };
+        set_cold(&mut sim, remaining);
+        assert_eq!(sim.dispatcher.spare_cpu(sim.now).total_millicores, 4 * 20_000);
+        sim.run(ms(1_200));
+        assert_eq!(tasks_started_at_once(&mut sim, 2), 4);
+        sim.run(ms(100));
+        assert_eq!(tasks_started_at_once(&mut sim, 3), 8);
+        sim.run(ms(600));
+        assert_eq!(sim.dispatcher.spare_cpu(sim.now).total_millicores, 4 * 32_000);
+        // A later cold time is a new one.
+        set_cold(&mut sim, ms(5_000));
+        assert_eq!(tasks_started_at_once(&mut sim, 4), 4);
+    }
+}
+
+/// Returns the expected time until a job ends that is submitted now.
+fn expected_time(sim: &mut Simulation, id: u64) -> Duration {
+    let key = sim.submit(submission(id, URGENT, 1, ms(60)));
+    sim.dispatcher.cancel(key, sim.now);
+    sim.process_actions();
+    sim.run(ms(100));
+    let expected = sim.log.iter().rev().find_map(|(_, event)| match event {
+        LogEvent::Admitted { expected, .. } => Some(*expected),
+        _ => None,
+    });
+    expected.expect("the job is admitted")
+}
+
+/// Guards against predictions that count on slow targets long after these are warm again, and against
+/// the ejection of targets that are slow only because they are cold.
+#[test]
+fn runs_on_cold_targets_teach_nothing() {
+    for (cold_for, is_learned) in [(ms(4_000), false), (Duration::ZERO, true)] {
+        let mut sim = Simulation::with_speeds(&[1.0, 1.0, 1.0]);
+        let before = (expected_time(&mut sim, 1), sim.dispatcher.slowness_by_kind());
+        set_cold(&mut sim, cold_for);
+        sim.targets.values_mut().for_each(|target| target.speed = 0.3);
+        for id in 10..20 {
+            sim.submit(submission(id, URGENT, 3, ms(60)));
+            sim.run(ms(350));
+        }
+        sim.targets.values_mut().for_each(|target| target.speed = 1.0);
+        sim.run(ms(2_000));
+        let after = (expected_time(&mut sim, 2), sim.dispatcher.slowness_by_kind());
+        assert_eq!(before != after, is_learned, "{before:?} {after:?}");
+        assert_eq!(sim.dispatcher.counts().ejections > 0, is_learned);
+    }
+}
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -73,6 +73,7 @@
         kind: Label::from("a"),
         labels: vec![Label::from("a"), Label::from(format!("rack-{}", n / 8))],
         draining: false,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/tests/known_targets.rs
+++ b/tests/known_targets.rs
@@ -26,6 +26,7 @@
         kind: Label::from("a"),
         labels: vec![Label::from("a")],
         draining: false,
+        cold_for: Duration::ZERO,
     }
 }
 
