--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod admission;
 pub mod crashes;
+pub mod evacuation;
 mod fast_targets;
 pub mod forecast;
 pub mod job;
@@ -34,6 +35,7 @@
     token_bucket::TokenBucket,
 };
 use derive_more::{Add, Display};
+use evacuation::Evacuations;
 use fast_targets::FastLimit;
 use indexmap::{IndexMap, IndexSet};
 use job::Job;
@@ -165,7 +167,7 @@
     pub refused: u64,
     /// Jobs redirected to another zone.
     pub redirected: u64,
-    /// Jobs redirected because their zone is evacuated.
+    /// Jobs redirected to another zone because this one is evacuated.
     pub evacuation_redirects: u64,
     /// Jobs of which every task succeeded.
     pub completed: u64,
@@ -211,8 +213,7 @@
     /// Submissions that wait until earlier runs of their tasks are closed.
     deferred: Vec<DeferredSubmission>,
     remote_zones: IndexMap<ZoneName, RemoteZone>,
-    /// Zones in which no task may be started; decisions do not depend on it yet.
-    evacuated_zones: IndexSet<ZoneName>,
+    evacuations: Evacuations,
     /// Targets that were lost under tasks.
     crash_history: CrashHistory,
     /// Tokens for starts of tasks that are main suspects of a crash; a crash uses one up.
@@ -260,7 +261,7 @@
             orphaned_runs: IndexMap::new(),
             deferred: Vec::new(),
             remote_zones: IndexMap::new(),
-            evacuated_zones: IndexSet::new(),
+            evacuations: Evacuations::default(),
             crash_history: CrashHistory::default(),
             crash_tokens: TokenBucket::new(0.0, 1.0),
             run_times: RunTimeEstimator::with_worker_weight(KIND_SLOWNESS_WEIGHT),
@@ -310,9 +311,11 @@
         self.jobs.len() + self.deferred.len()
     }
 
-    /// Number of targets that are taken over and respond.
+    /// Number of targets that are taken over, respond and are not evacuated.
     pub fn usable_targets(&self) -> usize {
-        self.targets.values().filter(|t| t.taken_over && t.unresponsive_since.is_none()).count()
+        let is_counted =
+            |t: &&Target| t.taken_over && t.unresponsive_since.is_none() && !self.is_evacuated(t);
+        self.targets.values().filter(is_counted).count()
     }
 
     /// Replaces the fleet configuration, unless the current version is the same or higher.
@@ -322,11 +325,6 @@
         }
     }
 
-    /// Sets the evacuated zones, in which no task may be started.
-    pub fn set_evacuated_zones(&mut self, zones: &IndexSet<ZoneName>, _now: Moment) {
-        self.evacuated_zones.clone_from(zones);
-    }
-
     /// Records the spare CPU that the dispatcher of another zone reports.
     pub fn update_remote_zone(
         &mut self,
@@ -342,7 +340,7 @@
     pub fn spare_cpu(&self, now: Moment) -> SpareCpu {
         let mut spare = SpareCpu::default();
         for target in self.targets.values().filter(|t| self.is_usable(t, now)) {
-            let cpu = target.free_resources().cpu.0;
+            let cpu = target.free_cpu(now).0;
             spare.total_millicores = spare.total_millicores.saturating_add(cpu);
             if self.fast_limit.is_fast(self.target_slowness(target)) {
                 spare.fast_millicores = spare.fast_millicores.saturating_add(cpu);
@@ -386,6 +384,7 @@
         self.update_fast_limit();
         self.expire_jobs(now);
         self.expire_losses(now);
+        self.release_evacuated_jobs(now);
         self.shed_late_jobs(now);
         self.check_targets(now);
         self.check_runs(now);
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -141,7 +141,7 @@
         let avoided = failed_on.filter(|failed_on| has_other(failed_on));
         let fits = |t: &&Target| {
             avoided != Some(&t.info.id)
-                && step.needs.fits_in(t.free_resources())
+                && step.needs.fits_in(t.startable_resources(now))
                 && self.is_eligible(job, step, t, now)
                 && !self.hosts_suspect(t)
                 && !t.runs.contains_key(&task)
@@ -162,7 +162,7 @@
                 return None;
             }
             let in_time = now + (run_time + chain_after).mul_f64(safety_factor) <= job.objective;
-            let cpu_left = t.free_resources().saturating_sub(step.needs).cpu.0;
+            let cpu_left = t.startable_resources(now).saturating_sub(step.needs).cpu.0;
             let runs_at_risk = if is_suspect { t.runs.len() } else { 0 };
             Some(Candidate {
                 id: t.info.id.clone(),
@@ -200,7 +200,7 @@
     ) -> bool {
         let Some(job) = self.jobs.get(&key) else { return false };
         let is_busy = |t: &&Target| {
-            self.is_eligible(job, step, t, now) && !step.needs.fits_in(t.free_resources())
+            self.is_eligible(job, step, t, now) && !step.needs.fits_in(t.startable_resources(now))
         };
         self.targets.values().filter(is_busy).any(|t| {
             let run_time = self
@@ -216,7 +216,8 @@
     fn is_eligible(&self, job: &Job, step: &Step, target: &Target, now: Moment) -> bool {
         let pool = self.config.queue(&job.submission.queue).map(|queue| &queue.pool);
         pool == Some(&target.info.pool)
-            && self.is_usable(target, now)
+            && self.is_available(target, now)
+            && self.permits_start(job, target, now)
             && step.needs.fits_in(target.info.capacity)
             && step.required.as_ref().is_none_or(|label| target.info.has_label(label))
     }
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -92,6 +92,10 @@
             match self.submit_once(&remaining, options).await {
                 Ok(DispatchReply::Redirected(to)) => {
                     self.metrics.redirected();
+                    // A job that waited in a zone which was then evacuated has less time left.
+                    let time_to_deadline =
+                        submission.time_to_deadline.saturating_sub(begun.elapsed());
+                    let remaining = JobSubmission { time_to_deadline, ..remaining };
                     match self.submit_to(to, &remaining).await {
                         // Nothing of the job ran in the other zone, so this zone may still run it.
                         Outcome::NotRun { .. }
