--- a/tests/dispatch/evacuation.rs
+++ b/tests/dispatch/evacuation.rs
@@ -202,7 +202,7 @@
 }
 
 /// Guards against starts of a begun job later than the operator may expect, and against callers that wait
-/// for tasks and steps that are never started. The same set again doesn't prolong the time.
+/// for tasks and steps that are never started. A zone that is named again doesn't get more time.
 #[test]
 fn begun_job_is_unknown_after_the_grace_time() {
     let mut two_steps = long_job(1, 1, ms(500));
@@ -216,6 +216,7 @@
         sim.set_evacuated_zones(&[ZONE]);
         sim.run(ms(300));
         assert_eq!(sim.outcome(key), None);
+        sim.set_evacuated_zones(&[ZONE]);
         sim.set_evacuated_zones(&[ZONE, "b"]);
         sim.run(ms(1_000));
         let (outcome, at) = sim.answers[&key];
@@ -412,10 +413,18 @@
         let before = (expected_time(&mut sim, 1), sim.dispatcher.slowness_by_kind());
         set_cold(&mut sim, cold_for);
         sim.targets.values_mut().for_each(|target| target.speed = 0.3);
+        let log_start = sim.log.len();
         for id in 10..20 {
             sim.submit(submission(id, URGENT, 3, ms(60)));
             sim.run(ms(350));
         }
+        let scales = sim.log[log_start..].iter().filter_map(|(_, event)| match event {
+            LogEvent::CompletedLate { scale, .. } => Some(*scale),
+            _ => None,
+        });
+        let scales: Vec<f64> = scales.collect();
+        assert!(!scales.is_empty());
+        assert_eq!(scales.iter().any(|scale| *scale != 1.0), is_learned, "{scales:?}");
         sim.targets.values_mut().for_each(|target| target.speed = 1.0);
         sim.run(ms(2_000));
         let after = (expected_time(&mut sim, 2), sim.dispatcher.slowness_by_kind());
