--- a/tests/dispatch/near_equal_targets.rs
+++ b/tests/dispatch/near_equal_targets.rs
@@ -1,6 +1,6 @@
 //! Long jobs on targets of nearly equal speed, of which none is far faster than usual.
 
-use crate::simulation::{LONG, Simulation, URGENT, ms, submission};
+use crate::simulation::{LONG, Simulation, ms, submission};
 use cranberrytray::{
     coordination::dispatch::SpareCpu,
     state::{
