--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -126,7 +126,4 @@
   handOver @3 (epoch :UInt64, kept :List(Text)) -> (taken :Bool);
   # Sent by a dispatcher to its successor, which takes over all targets except those in kept. taken
   # is false if the receiver declines.
-  explain @4 (work :Work, forwarded :Bool) -> (report :Data);
-  # Returns where a job would be placed now and why, as JSON, without running it. A VM that is not the
-  # dispatcher of its zone forwards the call to it, unless it was forwarded before.
 }
