--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -1,7 +1,8 @@
 //! Placement: which task is started on which target.
 
 use super::{
-    Action, Dispatcher, SubmissionKey, forecast::OVERDUE_EXTENSION, job::Job, reservation::PassPlan,
+    Action, Dispatcher, SubmissionKey, forecast::OVERDUE_EXTENSION, job::Job,
+    reservation::PassPlan, size_match::run_time_class,
 };
 use crate::state::{
     fleet_config::QueueName,
@@ -37,6 +38,10 @@
     /// Whether the task meets the objective of its job even if its run time is multiplied by the
     /// safety factor.
     in_time: bool,
+    /// Class of the expected run time; lower is faster.
+    time_class: i64,
+    /// CPU that the start wastes, as sizes of other tasks show, in thousandths of a core.
+    wasted_cpu: u64,
     /// Free CPU after the start of the task, in thousandths of a core.
     cpu_left: u64,
     /// Number of runs that a crash would take along, counted only if the task is a suspect.
@@ -46,12 +51,11 @@
 impl Candidate {
     /// Orders the best candidate first. Among those that meet the objective the slowest is best,
     /// since the fast ones are kept for tasks that meet it nowhere else; among equal ones, the one
-    /// with the least CPU left (best fit).
+    /// that wastes the least CPU and has the least left (best fit).
     fn compare(&self, other: &Self) -> Ordering {
-        let run_time = |c: &Self| c.run_time.as_millis() as i64 / 10;
         let sort_key = |c: &Self| {
-            let by_run_time = if c.in_time { -run_time(c) } else { run_time(c) };
-            (c.runs_at_risk, !c.in_time, by_run_time, c.cpu_left)
+            let by_run_time = if c.in_time { -c.time_class } else { c.time_class };
+            (c.runs_at_risk, !c.in_time, by_run_time, c.wasted_cpu, c.cpu_left)
         };
         sort_key(self).cmp(&sort_key(other))
     }
@@ -162,6 +166,7 @@
         };
         let safety_factor = self.safety_factor(job);
         let is_suspect = self.is_suspect(task);
+        let size_match = self.size_match(key, step, plan);
         let candidates = self.targets.values().filter(fits).filter_map(|t| {
             let mut run_time = self
                 .expected_run_time(&job.submission.queue, step, t)
@@ -178,7 +183,20 @@
             let in_time = now + (run_time + chain_after).mul_f64(safety_factor) <= job.objective;
             let cpu_left = t.free_resources().saturating_sub(step.needs).cpu.0;
             let runs_at_risk = if is_suspect { t.runs.len() } else { 0 };
-            Some(Candidate { id: t.info.id.clone(), run_time, in_time, cpu_left, runs_at_risk })
+            let (time_class, wasted_cpu) = match &size_match {
+                Some(sizes) => (run_time_class(run_time), sizes.wasted_cpu(t, step.needs.cpu.0)),
+                None => (run_time.as_millis() as i64 / 10, 0),
+            };
+            let id = t.info.id.clone();
+            Some(Candidate {
+                id,
+                run_time,
+                in_time,
+                time_class,
+                wasted_cpu,
+                cpu_left,
+                runs_at_risk,
+            })
         });
         let compare = if self.enables(Mechanism::SlowestInTime) {
             Candidate::compare
--- a/src/coordination/dispatch/task_sizes.rs
+++ b/src/coordination/dispatch/task_sizes.rs
@@ -9,6 +9,7 @@
     fleet_config::PoolName,
     job_submission::{JobSubmission, Step},
 };
+use std::ops::RangeInclusive;
 
 /// Tasks of a pool are large if they need, on average, more than one in this many parts of the CPU
 /// of its smallest target: then fewer than three fit, and what they leave is often wasted.
@@ -38,6 +39,12 @@
         self.mean += weight * deviation;
         self.variance = (1.0 - weight) * (self.variance + weight * deviation * deviation);
     }
+
+    /// CPU that two of three tasks need: the mean, and a standard deviation to either side.
+    pub(super) fn usual(&self) -> RangeInclusive<u64> {
+        let deviation = self.variance.sqrt();
+        (self.mean - deviation).max(0.0) as u64..=(self.mean + deviation) as u64
+    }
 }
 
 impl Dispatcher {
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -38,6 +38,8 @@
     SlowestInTime,
     /// A target is reserved for a large task that fits nowhere now.
     Reservation,
+    /// A large task prefers a target where the CPU left is close to zero or fits a usual task.
+    SizeMatch,
     /// Expected run times are multiplied by a safety factor when compared with the objective.
     ObjectiveSafety,
     /// The safety factor is higher where the objective is the deadline.
--- a/tests/dispatch/look_ahead.rs
+++ b/tests/dispatch/look_ahead.rs
@@ -145,6 +145,28 @@
     assert!(without.is_none_or(|ms| ms > 1_200), "{without:?}");
 }
 
+/// Load: tasks of 16, 19 and 13 cores, one after the other, on idle targets of 32. Guards against gaps
+/// of three cores that no task fits, while another task finds no room.
+#[test]
+fn tasks_whose_sizes_match_are_paired() {
+    let play = |disabled: &[&str]| {
+        let mut sim = simulation(2, disabled);
+        for id in 100..120 {
+            sim.submit(sized(id, LONG, 1, [12, 16, 20][id as usize % 3], ms(20)));
+            sim.run(ms(60));
+        }
+        let sizes = [13, 16, 16, 19];
+        for (id, cores) in (1..).zip(sizes) {
+            sim.submit(sized(id, LONG, 1, cores, ms(500)));
+        }
+        (1..=4).map(|id| first_start(&sim, id).map(|(n, _)| n)).collect::<Vec<_>>()
+    };
+    let targets = play(&[FORECASTS]);
+    assert_eq!(targets, [Some(0), Some(1), Some(1), Some(0)]);
+    let without = play(&[FORECASTS, "size-match"]);
+    assert!(without.contains(&None), "{without:?}");
+}
+
 /// All starts of a mixed load: many tasks of `cores` or a little more, and some that need most of a
 /// target.
 fn play_mixed_load(cores: u64, disabled: &[&str]) -> Vec<(usize, TaskId, Moment)> {
@@ -163,7 +185,7 @@
 /// on pools for which placement was tuned before.
 #[test]
 fn pool_with_small_tasks_is_placed_as_before() {
-    let look_ahead = "reservation";
+    let look_ahead = "reservation,size-match";
     let is_same = |cores| {
         let without = play_mixed_load(cores, &[FORECASTS, look_ahead]);
         play_mixed_load(cores, &[FORECASTS]) == without
