--- a/src/coordination/dispatch/forecast.rs
+++ b/src/coordination/dispatch/forecast.rs
@@ -1,9 +1,10 @@
 //! Forecasts when waiting jobs will end, by list scheduling over slots.
 //!
-//! A slot is the share of a target's CPU that one average task takes.
+//! A slot is the share of a target's CPU that one average task takes. In pools with large tasks, the
+//! size of each task is considered instead.
 
-use super::{Dispatcher, Rank, job::Job};
-use crate::state::{job_submission::TaskId, target::Target, time::Moment};
+use super::{Dispatcher, Rank, job::Job, size_forecast::SizeForecast};
+use crate::state::{job_submission::TaskId, mechanism::Mechanism, target::Target, time::Moment};
 use indexmap::IndexMap;
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
@@ -13,7 +14,7 @@
 pub(super) const OVERDUE_EXTENSION: Duration = Duration::from_millis(20);
 
 /// Assumed time until a target that is being taken over is usable: one target report and one stop.
-const TAKEOVER_DURATION: Duration = Duration::from_millis(60);
+pub(super) const TAKEOVER_DURATION: Duration = Duration::from_millis(60);
 
 /// Slowness of a group of slots, rounded to twentieths; 20 is a target of usual speed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -33,6 +34,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Forecast {
     slots: IndexMap<SlownessBucket, BinaryHeap<Reverse<Moment>>>,
+    /// Forecasts for the pools with large tasks.
+    by_size: Vec<SizeForecast>,
 }
 
 impl Forecast {
@@ -65,6 +68,10 @@
     pub(super) fn forecast(&self, now: Moment) -> Forecast {
         let slot_cpu = self.mean_task_millicores();
         let mut forecast = Forecast::default();
+        if self.enables(Mechanism::SizeForecast) {
+            let pools = self.large_task_pools().into_iter();
+            forecast.by_size = pools.map(|pool| self.size_forecast(pool, now)).collect();
+        }
         for target in self.targets.values().filter(|t| self.is_usable(t, now)) {
             let bucket = SlownessBucket::new(self.target_slowness(target));
             for run in target.runs.values() {
@@ -117,6 +124,8 @@
         job: &Job,
         now: Moment,
     ) -> Option<Moment> {
+        let pool = self.config.queue(&job.submission.queue).map(|queue| &queue.pool);
+        let by_size = forecast.by_size.iter().position(|f| Some(&f.pool) == pool);
         let mut end = now;
         let mut counts: IndexMap<u32, usize> = IndexMap::new();
         for task in &job.waiting_tasks {
@@ -125,7 +134,12 @@
         for (number, count) in counts {
             let step = job.submission.steps.get(number as usize)?;
             let base = self.base_run_time(&job.submission.queue, step);
-            let last = forecast.schedule(count, base.mul_f64(job.run_time_ratio()), now)?;
+            let run_time = base.mul_f64(job.run_time_ratio());
+            let sized = by_size.and_then(|n| forecast.by_size.get_mut(n));
+            let last = match sized {
+                Some(sized) => sized.schedule(count, step.needs.cpu.0, run_time, now)?,
+                None => forecast.schedule(count, run_time, now)?,
+            };
             let first = TaskId { job: job.submission.id, step: number, index: 0 };
             end = end.max(last + job.chain_after(first));
         }
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -19,6 +19,7 @@
 pub mod replies;
 mod reservation;
 pub mod runs;
+mod size_forecast;
 mod size_match;
 mod task_sizes;
 pub mod timing;
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -40,6 +40,8 @@
     Reservation,
     /// A large task prefers a target where the CPU left is close to zero or fits a usual task.
     SizeMatch,
+    /// Forecasts for large tasks consider the CPU of each task.
+    SizeForecast,
     /// Expected run times are multiplied by a safety factor when compared with the objective.
     ObjectiveSafety,
     /// The safety factor is higher where the objective is the deadline.
--- a/tests/dispatch/look_ahead.rs
+++ b/tests/dispatch/look_ahead.rs
@@ -2,7 +2,7 @@
 
 use crate::simulation::{Fault, LONG, Simulation, URGENT, ms, submission};
 use cranberrytray::state::{
-    job_submission::{JobSubmission, TaskId},
+    job_submission::{JobSubmission, Outcome, Refusal, TaskId},
     mechanism::MechanismSet,
     resources::MilliCores,
     time::Moment,
@@ -167,6 +167,36 @@
     assert!(without.contains(&None), "{without:?}");
 }
 
+/// Load: a target of which 20 cores are free for long, and a task of 24. Guards against a forecast
+/// that finds a free slot for it, so that it waits for nothing before it is refused.
+#[test]
+fn task_that_fits_only_late_is_refused_at_once() {
+    let play = |disabled: &[&str]| {
+        let mut sim = simulation(1, disabled);
+        sim.submit(sized(1, LONG, 1, 12, ms(900)));
+        let key = sim.submit(sized(2, URGENT, 1, 24, ms(200)));
+        sim.outcome(key)
+    };
+    let outcome = play(&[]);
+    let is_too_late = matches!(outcome, Some(Outcome::NotRun { refusal: Refusal::TooLate, .. }));
+    assert!(is_too_late, "{outcome:?}");
+    assert_eq!(play(&["size-forecast"]), None);
+}
+
+/// Load: targets with gaps of 13 cores, less than the mean task, and a task of 13. Guards against the
+/// refusal of a job that could start at once.
+#[test]
+fn task_that_fits_in_a_small_gap_is_admitted() {
+    let play = |disabled: &[&str]| {
+        let mut sim = simulation(2, disabled);
+        sim.submit(sized(1, LONG, 2, 19, ms(900)));
+        sim.submit(sized(2, URGENT, 1, 13, ms(200)));
+        first_start(&sim, 2).is_some()
+    };
+    assert!(play(&[]));
+    assert!(!play(&["size-forecast"]));
+}
+
 /// All starts of a mixed load: many tasks of `cores` or a little more, and some that need most of a
 /// target.
 fn play_mixed_load(cores: u64, disabled: &[&str]) -> Vec<(usize, TaskId, Moment)> {
@@ -185,11 +215,8 @@
 /// on pools for which placement was tuned before.
 #[test]
 fn pool_with_small_tasks_is_placed_as_before() {
-    let look_ahead = "reservation,size-match";
-    let is_same = |cores| {
-        let without = play_mixed_load(cores, &[FORECASTS, look_ahead]);
-        play_mixed_load(cores, &[FORECASTS]) == without
-    };
+    let look_ahead = "reservation,size-match,size-forecast";
+    let is_same = |cores| play_mixed_load(cores, &[]) == play_mixed_load(cores, &[look_ahead]);
     assert!(is_same(6));
     // The same load with larger tasks is placed differently, so that the comparison shows something.
     assert!(!is_same(11));
