--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -180,6 +180,8 @@
         self.schedule_ahead(&mut forecast, Some(rank), now);
         let ahead = self.queued_jobs.iter().take_while(|other| **other < rank).count();
         let end = self.schedule_waiting(&mut forecast, &job, now);
+        let wide_end = self.wide_job_end(&job, &self.large_task_pools(), None, now);
+        let end = end.map(|end| wide_end.map_or(end, |wide_end| end.max(wide_end)));
         let cpu = job.submission.total_millicores();
         let late = end.is_none_or(|end| end > job.objective);
         let is_servable = self.is_servable(&job.submission, &queue);
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -23,6 +23,7 @@
 mod size_match;
 mod task_sizes;
 pub mod timing;
+mod wide_job;
 
 use crate::state::{
     crash_history::CrashHistory,
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -125,6 +125,9 @@
                 self.update_queue(key);
                 return false;
             };
+            if self.refuse_wide_job(key, plan, now) {
+                return true;
+            }
             if let Some(job) = self.jobs.get_mut(&key) {
                 job.waiting_tasks.remove(position);
             }
--- a/src/coordination/dispatch/reservation.rs
+++ b/src/coordination/dispatch/reservation.rs
@@ -4,7 +4,10 @@
 //! task that needs more waits until none of them is left. Reservations last for one pass over the
 //! queue; the next one plans anew from the runs and targets that it finds.
 
-use super::{Dispatcher, SubmissionKey, forecast::OVERDUE_EXTENSION, placement::OBJECTIVE_SAFETY};
+use super::{
+    Dispatcher, SubmissionKey, forecast::OVERDUE_EXTENSION, placement::OBJECTIVE_SAFETY,
+    size_forecast::Occupancy,
+};
 use crate::state::{
     fleet_config::PoolName,
     job_submission::{Step, TaskId},
@@ -58,6 +61,15 @@
         })
     }
 
+    /// Expected use of a target by the tasks that have reserved it.
+    pub(super) fn occupancies(&self, target: &TargetId) -> impl Iterator<Item = Occupancy> {
+        self.reservations.iter().filter(move |r| r.target == *target).map(|r| Occupancy {
+            start: r.start,
+            end: r.end,
+            millicores: r.needs.cpu.0,
+        })
+    }
+
     /// Resources of a target that no run and no reservation is expected to occupy at `moment` or
     /// later.
     fn free_at(&self, target: &Target, moment: Moment, now: Moment) -> Resources {
--- a/src/coordination/dispatch/size_forecast.rs
+++ b/src/coordination/dispatch/size_forecast.rs
@@ -22,23 +22,24 @@
 
 /// CPU of a target that a run or a waiting task is expected to occupy.
 #[derive(Clone, Copy, Debug)]
-struct Occupancy {
-    start: Moment,
-    end: Moment,
-    millicores: u64,
+pub(super) struct Occupancy {
+    pub(super) start: Moment,
+    pub(super) end: Moment,
+    pub(super) millicores: u64,
 }
 
 /// Expected use of one target.
 #[derive(Clone, Debug)]
-struct TargetForecast {
-    slowness: f64,
-    millicores: u64,
-    occupied: Vec<Occupancy>,
+pub(super) struct TargetForecast {
+    pub(super) slowness: f64,
+    pub(super) millicores: u64,
+    pub(super) occupied: Vec<Occupancy>,
 }
 
 impl TargetForecast {
-    /// Returns the earliest start of a task that takes `run_time` here, if it is before `limit`.
-    fn earliest_start(
+    /// Returns the earliest start from `now` on of a task that takes `run_time` here, if it is before
+    /// `limit`.
+    pub(super) fn earliest_start(
         &self,
         millicores: u64,
         run_time: Duration,
@@ -51,7 +52,7 @@
             used + millicores <= self.millicores
         };
         let is_early = |start: &Moment| limit.is_none_or(|limit| *start < limit);
-        let starts = std::iter::once(now).chain(self.occupied.iter().map(|o| o.end));
+        let starts = std::iter::once(now).chain(self.occupied.iter().map(|o| o.end.max(now)));
         starts.filter(is_early).filter(|start| fits_at(*start)).min()
     }
 }
@@ -124,29 +125,29 @@
 }
 
 impl Dispatcher {
+    /// Returns the expected use of a target by its runs, or `None` if it is not usable soon.
+    pub(super) fn target_forecast(&self, target: &Target, now: Moment) -> Option<TargetForecast> {
+        let millicores = target.info.capacity.cpu.0;
+        let occupancy = |end, millicores| Occupancy { start: now, end, millicores };
+        if self.is_usable(target, now) {
+            let end = |end: Moment| end.max(now + OVERDUE_EXTENSION);
+            let runs = target.runs.values();
+            let occupied = runs.map(|run| occupancy(end(run.expected_end), run.needs.cpu.0));
+            let (occupied, slowness) = (occupied.collect(), self.target_slowness(target));
+            return Some(TargetForecast { slowness, millicores, occupied });
+        }
+        let is_being_taken_over =
+            !target.taken_over && target.unresponsive_since.is_none() && !target.info.draining;
+        let occupied = vec![occupancy(now + TAKEOVER_DURATION, millicores)];
+        is_being_taken_over.then_some(TargetForecast { slowness: 1.0, millicores, occupied })
+    }
+
     /// Returns the expected use of the usable targets of a pool, with running but without waiting
     /// tasks.
     pub(super) fn size_forecast(&self, pool: PoolName, now: Moment) -> SizeForecast {
-        let is_being_taken_over =
-            |t: &Target| !t.taken_over && t.unresponsive_since.is_none() && !t.info.draining;
-        let forecast = |t: &Target| {
-            let millicores = t.info.capacity.cpu.0;
-            let occupancy = |end, millicores| Occupancy { start: now, end, millicores };
-            if self.is_usable(t, now) {
-                let runs = t.runs.values();
-                let end = |end: Moment| end.max(now + OVERDUE_EXTENSION);
-                let occupied = runs.map(|run| occupancy(end(run.expected_end), run.needs.cpu.0));
-                let occupied = occupied.collect();
-                Some(TargetForecast { slowness: self.target_slowness(t), millicores, occupied })
-            } else if is_being_taken_over(t) {
-                let occupied = vec![occupancy(now + TAKEOVER_DURATION, millicores)];
-                Some(TargetForecast { slowness: 1.0, millicores, occupied })
-            } else {
-                None
-            }
-        };
         let targets = self.targets.values().filter(|t| t.info.pool == pool);
-        let targets: Vec<TargetForecast> = targets.filter_map(forecast).collect();
+        let targets = targets.filter_map(|t| self.target_forecast(t, now));
+        let targets: Vec<TargetForecast> = targets.collect();
         let occupied = targets.iter().flat_map(|t| &t.occupied);
         let work = occupied.map(|o| o.millicores as f64 * (o.end - now).as_secs_f64()).sum();
         let millicores = targets.iter().map(|t| t.millicores).sum();
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -42,6 +42,8 @@
     SizeMatch,
     /// Forecasts for large tasks consider the CPU of each task.
     SizeForecast,
+    /// All tasks of a job with large tasks are planned before the first one starts.
+    WideJobPlan,
     /// Expected run times are multiplied by a safety factor when compared with the objective.
     ObjectiveSafety,
     /// The safety factor is higher where the objective is the deadline.
--- a/tests/dispatch/look_ahead.rs
+++ b/tests/dispatch/look_ahead.rs
@@ -1,11 +1,14 @@
 //! Pools whose tasks fill large parts of their targets, so that placement looks ahead.
 
 use crate::simulation::{Fault, LONG, Simulation, URGENT, ms, submission};
-use cranberrytray::state::{
-    job_submission::{JobSubmission, Outcome, Refusal, TaskId},
-    mechanism::MechanismSet,
-    resources::MilliCores,
-    time::Moment,
+use cranberrytray::{
+    coordination::dispatch::{SpareCpu, SubmissionKey},
+    state::{
+        job_submission::{JobSubmission, Outcome, Refusal, TaskId},
+        mechanism::MechanismSet,
+        resources::MilliCores,
+        time::Moment,
+    },
 };
 use std::time::Duration;
 
@@ -197,6 +200,50 @@
     assert!(!play(&["size-forecast"]));
 }
 
+/// A job of four tasks of 400 ms, two of which run at the same time on two targets, and its outcome.
+fn play_wide_job(disabled: &[&str], has_remote: bool) -> (Simulation, SubmissionKey) {
+    let mut sim = simulation(2, disabled);
+    if has_remote {
+        let spare = SpareCpu { total_millicores: 640_000, fast_millicores: 640_000 };
+        let address = ([127, 0, 0, 1], 9_999).into();
+        sim.dispatcher.update_remote_zone("other".parse().unwrap(), address, spare, sim.now);
+    }
+    let mut job = sized(1, LONG, 4, 16, ms(400));
+    job.steps[0].most_per_target = Some(1);
+    job.time_to_deadline = ms(700);
+    let key = sim.submit_with(job, true, false);
+    (sim, key)
+}
+
+/// Load: a wide job of which only half can end in time. Guards against starting that half, whose work
+/// is lost when the rest turns out to be late, both on arrival and in a pass over the queue.
+#[test]
+fn wide_job_whose_last_task_ends_late_starts_nothing() {
+    for disabled in ["", FORECASTS] {
+        let (sim, key) = play_wide_job(&[disabled], false);
+        let outcome = sim.outcome(key);
+        let is_refused = matches!(outcome, Some(Outcome::NotRun { refusal: Refusal::TooLate, .. }));
+        assert!(is_refused, "{outcome:?}");
+        assert_eq!(sim.start_count(), 0);
+        let (sim, _) = play_wide_job(&[disabled, "wide-job-plan"], false);
+        assert_eq!(sim.start_count(), 2);
+    }
+    let (sim, key) = play_wide_job(&[], true);
+    assert_eq!((sim.start_count(), sim.redirected[0].0), (0, key));
+}
+
+/// Load: a wide job that waits for a run of 200 ms and then ends in time. Guards against refusing jobs
+/// whose tasks can't all start at once.
+#[test]
+fn wide_job_that_can_end_in_time_is_started() {
+    let mut sim = simulation(2, &[]);
+    sim.submit(sized(1, LONG, 1, 20, ms(200)));
+    let key = sim.submit(sized(2, LONG, 4, 16, ms(400)));
+    assert_eq!(sim.start_count(), 3);
+    sim.run(ms(1_000));
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
+
 /// All starts of a mixed load: many tasks of `cores` or a little more, and some that need most of a
 /// target.
 fn play_mixed_load(cores: u64, disabled: &[&str]) -> Vec<(usize, TaskId, Moment)> {
@@ -215,7 +262,7 @@
 /// on pools for which placement was tuned before.
 #[test]
 fn pool_with_small_tasks_is_placed_as_before() {
-    let look_ahead = "reservation,size-match,size-forecast";
+    let look_ahead = "reservation,size-match,size-forecast,wide-job-plan";
     let is_same = |cores| play_mixed_load(cores, &[]) == play_mixed_load(cores, &[look_ahead]);
     assert!(is_same(6));
     // The same load with larger tasks is placed differently, so that the comparison shows something.
