--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -18,7 +18,7 @@
 const MAX_BLOCKED_JOBS: usize = 6;
 /// Number of jobs that are left waiting, those with smaller tasks behind the first
 /// [`MAX_BLOCKED_JOBS`] included, at which a pass ends in any case; it bounds the cost of a pass.
-const MAX_BLOCKED_BACKFILLS: usize = 24;
+const MAX_BLOCKED_BACKFILLS: usize = 12;
 /// A target is preferred where a task would meet its job's objective even if it took this many
 /// times its expected run time, since half of all tasks take longer than expected.
 pub(super) const OBJECTIVE_SAFETY: f64 = 1.7;
--- a/src/coordination/dispatch/size_forecast.rs
+++ b/src/coordination/dispatch/size_forecast.rs
@@ -13,9 +13,9 @@
 use std::{sync::Arc, time::Duration};
 
 /// Number of waiting tasks that are assigned to targets one by one; it bounds the cost. Those behind
-/// them wait for several run times on zones of up to some 60 targets, where their exact place
-/// matters little.
-const MAX_PLACED_TASKS: usize = 128;
+/// them are expected to end when all work ahead of them is done, since their exact place has less
+/// effect the longer they wait.
+const MAX_PLACED_TASKS: usize = 48;
 /// Share of the CPU that tasks use while many wait: tasks of 16 cores with a deviation of a fifth
 /// leave about a seventh of a target with 32.
 const PACKED_SHARE: f64 = 0.85;
--- a/src/coordination/dispatch/wide_job.rs
+++ b/src/coordination/dispatch/wide_job.rs
@@ -43,11 +43,10 @@
         if !is_planned {
             return None;
         }
-        let usable = |t: &&Target| t.info.pool == *pool && self.is_usable(t, now);
         let mut targets: Vec<(&Target, TargetForecast)> = self
             .targets
             .values()
-            .filter(usable)
+            .filter(|t| t.info.pool == *pool)
             .filter_map(|t| {
                 let mut forecast = self.target_forecast(t, now)?;
                 if let Some(plan) = plan {
