--- a/src/coordination/dispatch/size_forecast.rs
+++ b/src/coordination/dispatch/size_forecast.rs
@@ -90,7 +90,9 @@
                 let rest = (tasks - placed) as f64;
                 self.work += rest * millicores as f64 * base.as_secs_f64();
                 let wait = self.work / (self.millicores as f64 * PACKED_SHARE).max(1.0);
-                return Some(last_end.max(now + Duration::from_secs_f64(wait) + base));
+                // On average, a target is in the middle of a run when the work is done.
+                let end = now + Duration::from_secs_f64(wait) + base / 2;
+                return Some(last_end.max(end).max(now + base));
             };
             last_end = last_end.max(end);
         }
--- a/tests/dispatch/look_ahead.rs
+++ b/tests/dispatch/look_ahead.rs
@@ -244,6 +244,15 @@
     assert_eq!(sim.outcome(key), Some(Outcome::Completed));
 }
 
+/// Load: a job of more tasks than the forecast assigns one by one, on idle targets that run all of them
+/// at once. Guards against the refusal of a job that ends in time.
+#[test]
+fn very_wide_job_on_idle_targets_is_admitted() {
+    let mut sim = simulation(60, &[]);
+    let key = sim.submit(sized(1, URGENT, 120, 16, ms(200)));
+    assert_eq!((sim.outcome(key), sim.start_count()), (None, 120));
+}
+
 /// All starts of a mixed load: many tasks of `cores` or a little more, and some that need most of a
 /// target.
 fn play_mixed_load(cores: u64, disabled: &[&str]) -> Vec<(usize, TaskId, Moment)> {
