--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -174,6 +174,7 @@
             let delay = MAX_RETRY_AFTER;
             return self.refuse(&keys, &submission, Refusal::Shape, delay, Duration::ZERO);
         }
+        self.observe_task_sizes(&queue.pool, &submission);
         let is_servable = self.is_servable(&submission, &queue);
         if !is_servable && self.is_evacuating() {
             let may_redirect = origin == Origin::Caller;
@@ -187,6 +188,8 @@
         self.schedule_ahead(&mut forecast, Some(rank), now);
         let ahead = self.queued_jobs.iter().take_while(|other| **other < rank).count();
         let end = self.schedule_waiting(&mut forecast, &job, now);
+        let wide_end = self.wide_job_end(&job, &self.large_task_pools(), None, now);
+        let end = end.map(|end| wide_end.map_or(end, |wide_end| end.max(wide_end)));
         let cpu = job.submission.total_millicores();
         let late = end.is_none_or(|end| end > job.objective);
         let zone = match origin {
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -38,6 +38,14 @@
     RelativeFastLimit,
     /// A task goes to the slowest target on which it is in time, else to the fastest one.
     SlowestInTime,
+    /// A target is reserved for a large task that fits nowhere now.
+    Reservation,
+    /// A large task prefers a target where the CPU left is close to zero or fits a usual task.
+    SizeMatch,
+    /// Forecasts for large tasks consider the CPU of each task.
+    SizeForecast,
+    /// All tasks of a job with large tasks are planned before the first one starts.
+    WideJobPlan,
     /// Expected run times are multiplied by a safety factor when compared with the objective.
     ObjectiveSafety,
     /// The safety factor is higher where the objective is the deadline.
@@ -108,6 +116,31 @@
         MechanismSet(EnumSet::all())
     }
 
+    /// Returns the mechanisms that are off unless the settings switch them on: they look ahead at
+    /// more processor time for each decision than a deployment may want to spend.
+    pub fn optional() -> Self {
+        use Mechanism::{Reservation, SizeForecast, SizeMatch, WideJobPlan};
+        [Reservation, SizeMatch, SizeForecast, WideJobPlan].into_iter().collect()
+    }
+
+    /// Returns the set without the mechanisms of `other`.
+    ///
+    /// ```
+    /// use cranberrytray::state::mechanism::{Mechanism, MechanismSet};
+    ///
+    /// let enabled: MechanismSet = "reservation".parse().unwrap();
+    /// let off = MechanismSet::optional().without(enabled);
+    /// assert!(off.contains(Mechanism::SizeMatch) && !off.contains(Mechanism::Reservation));
+    /// ```
+    pub fn without(self, other: MechanismSet) -> Self {
+        MechanismSet(self.0 - other.0)
+    }
+
+    /// Returns the mechanisms of both sets.
+    pub fn union(self, other: MechanismSet) -> Self {
+        MechanismSet(self.0 | other.0)
+    }
+
     /// Whether the set has `mechanism`.
     pub fn contains(self, mechanism: Mechanism) -> bool {
         self.0.contains(mechanism)
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod faulty_targets;
 mod large_jobs;
 mod load;
+mod look_ahead;
 mod malformed;
 mod near_equal_targets;
 mod ownership;
