--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -301,7 +301,7 @@
         start < self.until && end > self.since
     }
 
-    /// Usable share of the target's CPU: [`MIN_COLD_SHARE`] at the beginning of the period, from
+    /// Usable share of the target's CPU: a quarter at the beginning of the period, from
     /// where it rises linearly to 1 at its end.
     pub fn usable_share(&self, now: Moment) -> f64 {
         if !self.is_cold(now) {
