--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -261,7 +261,7 @@
             fencing_token,
             config,
             timing,
-            disabled: MechanismSet::default(),
+            disabled: MechanismSet::optional(),
             targets: IndexMap::new(),
             jobs: IndexMap::new(),
             keys_by_job_id: IndexMap::new(),
@@ -290,7 +290,7 @@
         }
     }
 
-    /// Switches mechanisms off, which is meant for experiments.
+    /// Replaces the set of mechanisms that are switched off, at first the optional ones.
     pub fn disable(&mut self, mechanisms: MechanismSet) {
         self.disabled = mechanisms;
     }
