--- a/src/coordination/dispatch/evacuation.rs
+++ b/src/coordination/dispatch/evacuation.rs
@@ -114,7 +114,7 @@
         self.release_evacuated_jobs(now);
     }
 
-    /// Whether a zone is evacuated.
+    /// Returns true if the operator has evacuated the zone.
     pub(super) fn is_zone_evacuated(&self, zone: &ZoneName) -> bool {
         self.evacuations.zones.contains_key(zone)
     }
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -291,7 +291,7 @@
         self.until = now + info.cold_for;
     }
 
-    /// Whether the target is cold.
+    /// Returns true until the target has warmed up.
     pub fn is_cold(&self, now: Moment) -> bool {
         now < self.until
     }
