--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -10,6 +10,8 @@
   # Capacity of the VM as a dispatcher, in thousandths of a core; the VM with the highest value
   # dispatches for its zone.
   incarnation @4 :UInt64;
+  knowsShards @5 :Bool;
+  # Whether the VM's version can divide a zone into shards. A zone with a VM that can't is not divided.
 }
 
 struct Resources {
@@ -108,6 +110,12 @@
   # replaces a lower one.
   evacuatedZones @10 :List(Text);
   # Zones in which no task may be started.
+  shard @11 :UInt16;
+  # Index of the shard whose dispatcher the sender is, or for which it may be elected. The fields
+  # dispatcher, epoch, spareMilliCores and spareFastMilliCores are about this shard.
+  shardCount @12 :UInt16;
+  # Number of shards of the sender's zone; 0 from VMs that don't know shards, and from those that know
+  # of one in their zone.
 }
 
 interface Peer {
@@ -115,11 +123,12 @@
   # Exchanges heartbeats. The echo is the token of the last reply on this connection. The call only
   # proves that its sender was alive when it received that token, since the network may have delayed
   # the call for any time.
-  run @1 (work :Work, mayPass :Bool, resumed :Bool) -> (outcome :Outcome, passedTo :Text);
+  run @1 (work :Work, mayPass :Bool, resumed :Bool, shardCount :UInt16) -> (outcome :Outcome, passedTo :Text);
   # Runs a job and returns when it has ended; dropping the call cancels the job. A resumed job may
   # have run under an earlier dispatcher of the zone. mayPass permits a redirect: passedTo, if not
   # empty, is the address of the dispatcher that the sender should ask instead, and no task of the
-  # job was started.
+  # job was started. shardCount is the number of shards by which the sender chose the dispatcher, 0 if
+  # it doesn't know shards.
   snapshot @2 (zone :Text) -> (planVersion :UInt64, plan :Data, members :List(Member), targets :Data, evacuationRevision :UInt64, evacuatedZones :List(Text));
   # Returns the configuration in force, the VMs known to the replying VM, the targets of a zone, and
   # the evacuated zones with their revision as in Beat. Configuration and targets are JSON.
--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -1,16 +1,16 @@
-//! Admission control: which jobs are admitted, redirected to another zone, or refused at once.
+//! Admission control: which jobs are admitted, redirected to another shard, or refused at once.
 
 use super::{
-    Action, DeferredSubmission, Dispatcher, JobLabel, LogEvent, MAX_OPEN_JOBS, Rank, RemoteZone,
+    Action, DeferredSubmission, Dispatcher, JobLabel, LogEvent, MAX_OPEN_JOBS, Rank, RemoteShard,
     SpareCpu, SubmissionKey, job::Job,
 };
 use crate::state::{
     fleet_config::Queue,
-    id::ZoneName,
     job_submission::{
         CallerJobId, JobSubmission, Outcome, Refusal, Step, chain_durations, validate_steps,
     },
     mechanism::Mechanism,
+    shard::Shard,
     target::Target,
     time::Moment,
 };
@@ -23,17 +23,17 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Longest retry delay returned with a refusal.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
-/// Maximum age at which the spare CPU reported by another zone's dispatcher is still used.
-const MAX_REMOTE_ZONE_AGE: Duration = Duration::from_millis(700);
-/// A job that would be late here is redirected to a zone with at least `1 / LATE_JOB_SPARE_DIVISOR`
-/// of the CPU that the job takes: most runs are short, and the other zone refuses at once a job
+/// Maximum age at which the spare CPU reported by another shard's dispatcher is still used.
+const MAX_REMOTE_SHARD_AGE: Duration = Duration::from_millis(700);
+/// A job that would be late here is redirected to a shard with at least `1 / LATE_JOB_SPARE_DIVISOR`
+/// of the CPU that the job takes: most runs are short, and the other shard refuses at once a job
 /// that it can't finish in time.
 const LATE_JOB_SPARE_DIVISOR: u64 = 4;
-/// A job that would wait here is redirected to a zone whose spare CPU is this many times what the
+/// A job that would wait here is redirected to a shard whose spare CPU is this many times what the
 /// job takes, since the reported value is up to a tenth of a second old.
 const WAITING_JOB_SPARE_FACTOR: u64 = 2;
-/// A job with a hard deadline that doesn't fit on this zone's fast targets is redirected to a zone
-/// where it does, or whose spare fast CPU exceeds this zone's by `1 / FAST_MARGIN_DIVISOR` of what
+/// A job with a hard deadline that doesn't fit on this shard's fast targets is redirected to a shard
+/// where it does, or whose spare fast CPU exceeds this one's by `1 / FAST_MARGIN_DIVISOR` of what
 /// the job takes; a smaller lead may be used up by the time the job arrives there.
 const FAST_MARGIN_DIVISOR: u64 = 4;
 /// Retry delay of jobs refused because no target or no queue is known for them.
@@ -42,11 +42,11 @@
 /// Source of a job, which decides the latest expected end at which it is admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
-    /// A caller of this zone; the job may be redirected to another zone.
+    /// A caller of this zone; the job may be redirected to another shard.
     Caller,
-    /// Redirected here by the dispatcher of another zone; it may be refused, but not redirected
+    /// Redirected here by the dispatcher of another shard; it may be refused, but not redirected
     /// again.
-    OtherZone,
+    OtherShard,
     /// Deferred until runs of an earlier submission or dispatcher were closed. Since the job has
     /// waited and may have run, it is refused only if it can't meet its deadline.
     Deferred,
@@ -54,8 +54,8 @@
 
 impl Dispatcher {
     /// Admits, redirects or refuses a job, or defers the decision until earlier runs of the job are
-    /// closed. `may_redirect` is false if another zone redirected the job here; `resumed` is true
-    /// if it may have run under an earlier dispatcher of this zone.
+    /// closed. `may_redirect` is false if another shard redirected the job here; `resumed` is true
+    /// if it may have run under an earlier dispatcher of this shard.
     pub fn submit(
         &mut self,
         submission: JobSubmission,
@@ -90,7 +90,7 @@
             let keys = vec![key];
             self.deferred.push(DeferredSubmission { keys, submission, arrived_at: now, resumed });
         } else {
-            let origin = if may_redirect { Origin::Caller } else { Origin::OtherZone };
+            let origin = if may_redirect { Origin::Caller } else { Origin::OtherShard };
             self.admit_or_redirect(vec![key], submission, now, origin, now);
         }
         self.start_waiting_tasks(now);
@@ -192,13 +192,15 @@
         let end = end.map(|end| wide_end.map_or(end, |wide_end| end.max(wide_end)));
         let cpu = job.submission.total_millicores();
         let late = end.is_none_or(|end| end > job.objective);
-        let zone = match origin {
-            Origin::Caller if !is_servable => self.best_remote_zone(0, now, |s| s.total_millicores),
-            Origin::Caller => self.choose_remote_zone(&job, late, cpu, now),
-            Origin::OtherZone | Origin::Deferred => None,
+        let shard = match origin {
+            Origin::Caller if !is_servable => {
+                self.best_remote_shard(0, now, |s| s.total_millicores)
+            }
+            Origin::Caller => self.choose_remote_shard(&job, late, cpu, now),
+            Origin::OtherShard | Origin::Deferred => None,
         };
-        if let Some(zone) = zone {
-            return self.redirect_to_zone(&keys, id, zone, cpu, now);
+        if let Some(shard) = shard {
+            return self.redirect_to_shard(&keys, id, shard, cpu, now);
         }
         let Some(end) = end.filter(|_| is_servable) else {
             return self.refuse(
@@ -222,7 +224,7 @@
         job.deferred = origin == Origin::Deferred;
         let latest_end = match origin {
             Origin::Caller | Origin::Deferred => job.latest_end(),
-            Origin::OtherZone => job.objective.min(job.deadline),
+            Origin::OtherShard => job.objective.min(job.deadline),
         };
         if end + ANSWER_LATENCY > latest_end && self.enables(Mechanism::AdmissionForecast) {
             let delay = retry_after(end - job.objective);
@@ -283,10 +285,10 @@
         })
     }
 
-    /// Returns the zone that a job should be redirected to, if any. `cpu` is what all tasks of the
+    /// Returns the shard that a job should be redirected to, if any. `cpu` is what all tasks of the
     /// job take together, in thousandths of a core; `late` is whether it would miss its objective
     /// here.
-    fn choose_remote_zone(&self, job: &Job, late: bool, cpu: u64, now: Moment) -> Option<ZoneName> {
+    fn choose_remote_shard(&self, job: &Job, late: bool, cpu: u64, now: Moment) -> Option<Shard> {
         let spare = self.spare_cpu(now);
         let lacks_fast = self.enables(Mechanism::FastRedirect)
             && job.has_hard_deadline()
@@ -295,61 +297,67 @@
             && !job.has_hard_deadline()
             && spare.total_millicores < cpu;
         let min_fast = cpu.min(spare.fast_millicores.saturating_add(cpu / FAST_MARGIN_DIVISOR));
-        let zone_with_fast = || self.best_remote_zone(min_fast, now, |spare| spare.fast_millicores);
-        let zone_with_ample = || {
-            self.best_remote_zone(cpu.saturating_mul(WAITING_JOB_SPARE_FACTOR), now, |spare| {
+        let shard_with_fast =
+            || self.best_remote_shard(min_fast, now, |spare| spare.fast_millicores);
+        let shard_with_ample = || {
+            self.best_remote_shard(cpu.saturating_mul(WAITING_JOB_SPARE_FACTOR), now, |spare| {
                 spare.total_millicores
             })
         };
-        let zone_with_some = || {
-            self.best_remote_zone(cpu / LATE_JOB_SPARE_DIVISOR, now, |spare| spare.total_millicores)
+        let shard_with_some = || {
+            self.best_remote_shard(cpu / LATE_JOB_SPARE_DIVISOR, now, |spare| {
+                spare.total_millicores
+            })
         };
-        let zone = if lacks_fast { zone_with_fast() } else { None };
-        let zone = zone.or_else(|| if would_wait { zone_with_ample() } else { None });
+        let shard = if lacks_fast { shard_with_fast() } else { None };
+        let shard = shard.or_else(|| if would_wait { shard_with_ample() } else { None });
         let late = late && self.enables(Mechanism::LateRedirect);
-        zone.or_else(|| if late { zone_with_some() } else { None })
+        shard.or_else(|| if late { shard_with_some() } else { None })
     }
 
-    /// Returns the zone with the most spare CPU, as selected by `spare_of`, if it has at least
-    /// `min_spare`.
-    fn best_remote_zone<F>(&self, min_spare: u64, now: Moment, spare_of: F) -> Option<ZoneName>
+    /// Returns the shard with the most spare CPU, as selected by `spare_of`, if it has at least
+    /// `min_spare`; one of this zone, if there is such a one.
+    fn best_remote_shard<F>(&self, min_spare: u64, now: Moment, spare_of: F) -> Option<Shard>
     where
         F: Fn(SpareCpu) -> u64,
     {
         let candidates =
-            self.redirect_targets(now).filter(|(_, zone)| spare_of(zone.spare) >= min_spare);
-        candidates.max_by_key(|(_, zone)| spare_of(zone.spare)).map(|(name, _)| name.clone())
+            self.redirect_targets(now).filter(|(_, remote)| spare_of(remote.spare) >= min_spare);
+        let preference = |(shard, remote): &(&Shard, &RemoteShard)| {
+            (self.is_own_zone(&shard.zone), spare_of(remote.spare))
+        };
+        candidates.max_by_key(preference).map(|(shard, _)| shard.clone())
     }
 
-    /// Returns the zones to which jobs may be redirected: those that reported recently and are not
-    /// evacuated.
+    /// Returns the shards to which jobs may be redirected: those that reported recently and whose
+    /// zone is not evacuated.
     pub(super) fn redirect_targets(
         &self,
         now: Moment,
-    ) -> impl Iterator<Item = (&ZoneName, &RemoteZone)> {
-        self.remote_zones.iter().filter(move |(name, zone)| {
-            now - zone.updated_at <= MAX_REMOTE_ZONE_AGE && !self.is_zone_evacuated(name)
+    ) -> impl Iterator<Item = (&Shard, &RemoteShard)> {
+        self.remote_shards.iter().filter(move |(shard, remote)| {
+            now - remote.updated_at <= MAX_REMOTE_SHARD_AGE && !self.is_zone_evacuated(&shard.zone)
         })
     }
 
-    /// Redirects all submissions of a job to the same zone, so that they join one job there.
-    pub(super) fn redirect_to_zone(
+    /// Redirects all submissions of a job to the same shard, so that they join one job there.
+    pub(super) fn redirect_to_shard(
         &mut self,
         keys: &[SubmissionKey],
         id: CallerJobId,
-        zone: ZoneName,
+        shard: Shard,
         cpu: u64,
         now: Moment,
     ) {
         let local_spare = self.spare_cpu(now);
-        let Some(remote) = self.remote_zones.get_mut(&zone) else { return };
+        let Some(remote) = self.remote_shards.get_mut(&shard) else { return };
         let (remote_spare, age) = (remote.spare, now - remote.updated_at);
         remote.spare.total_millicores = remote.spare.total_millicores.saturating_sub(cpu);
         remote.spare.fast_millicores = remote.spare.fast_millicores.saturating_sub(cpu);
         let to = remote.address;
         self.counts.redirected += 1;
-        self.log(LogEvent::Redirected { id, zone: zone.clone(), local_spare, remote_spare, age });
-        let redirect = |&key: &SubmissionKey| Action::Redirect { key, zone: zone.clone(), to };
+        self.log(LogEvent::Redirected { id, shard: shard.clone(), local_spare, remote_spare, age });
+        let redirect = |&key: &SubmissionKey| Action::Redirect { key, shard: shard.clone(), to };
         self.actions.extend(keys.iter().map(redirect));
     }
 
--- a/src/coordination/dispatch/evacuation.rs
+++ b/src/coordination/dispatch/evacuation.rs
@@ -7,6 +7,7 @@
     state::{
         id::ZoneName,
         job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, Step, TaskId},
+        shard::Shard,
         target::{Target, TargetId, TargetInfo},
         time::Moment,
     },
@@ -28,8 +29,8 @@
     zones: IndexMap<ZoneName, EvacuatedZone>,
     /// Zones of the targets in the last list that had any.
     own_zones: IndexSet<ZoneName>,
-    /// CPU of the jobs that were redirected because of an evacuation, by receiving zone.
-    sent: IndexMap<ZoneName, SentCpu>,
+    /// CPU of the jobs that were redirected because of an evacuation, by receiving shard.
+    sent: IndexMap<Shard, SentCpu>,
 }
 
 #[derive(Debug)]
@@ -119,6 +120,11 @@
         self.evacuations.zones.contains_key(zone)
     }
 
+    /// Whether a zone is that of this dispatcher's targets.
+    pub(super) fn is_own_zone(&self, zone: &ZoneName) -> bool {
+        self.evacuations.own_zones.contains(zone)
+    }
+
     /// Whether the zone of a target is evacuated.
     pub(super) fn is_evacuated(&self, target: &Target) -> bool {
         self.is_zone_evacuated(&target.info.zone)
@@ -181,8 +187,8 @@
     fn release_waiting_job(&mut self, key: SubmissionKey, now: Moment) {
         let Some(job) = self.jobs.get(&key) else { return };
         let cpu = job.submission.total_millicores();
-        let zone = if job.may_redirect { self.choose_receiving_zone(cpu, now) } else { None };
-        let Some(zone) = zone else {
+        let shard = if job.may_redirect { self.choose_receiving_shard(cpu, now) } else { None };
+        let Some(shard) = shard else {
             let (label, age) = (JobLabel::from(&job.submission), now - job.arrived_at);
             let refusal = Refusal::NoTarget;
             self.log_refusal(label, refusal, Duration::ZERO, age);
@@ -194,7 +200,7 @@
         }
         let Some(job) = self.jobs.swap_remove(&key) else { return };
         self.keys_by_job_id.swap_remove(&job.submission.id);
-        self.redirect_evacuated(&job.submissions, &job.submission, zone, now);
+        self.redirect_evacuated(&job.submissions, &job.submission, shard, now);
     }
 
     /// Redirects a new job that only evacuated targets could run, or refuses it.
@@ -208,8 +214,8 @@
         // A job with suspects was started when it was submitted before.
         let may_redirect = may_redirect && !self.crash_history.has_suspects(submission.id);
         let cpu = submission.total_millicores();
-        match self.choose_receiving_zone(cpu, now).filter(|_| may_redirect) {
-            Some(zone) => self.redirect_evacuated(keys, submission, zone, now),
+        match self.choose_receiving_shard(cpu, now).filter(|_| may_redirect) {
+            Some(shard) => self.redirect_evacuated(keys, submission, shard, now),
             None => {
                 let (refusal, delay) = (Refusal::NoTarget, NO_TARGET_RETRY_AFTER);
                 self.refuse(keys, submission, refusal, delay, Duration::ZERO);
@@ -221,31 +227,31 @@
         &mut self,
         keys: &[SubmissionKey],
         submission: &JobSubmission,
-        zone: ZoneName,
+        shard: Shard,
         now: Moment,
     ) {
         let cpu = submission.total_millicores();
-        let millicores = self.sent_millicores(&zone, now) + cpu as f64;
-        self.evacuations.sent.insert(zone.clone(), SentCpu { millicores, updated_at: now });
+        let millicores = self.sent_millicores(&shard, now) + cpu as f64;
+        self.evacuations.sent.insert(shard.clone(), SentCpu { millicores, updated_at: now });
         self.counts.evacuation_redirects += 1;
-        self.redirect_to_zone(keys, submission.id, zone, cpu, now);
+        self.redirect_to_shard(keys, submission.id, shard, cpu, now);
     }
 
-    /// Returns the zone that should receive a job that needs `cpu` thousandths of a core: the one
-    /// with the highest ratio of spare CPU to the CPU sent there recently, so that each zone gets a
-    /// share by its spare CPU. If no zone has spare CPU, it is the one to which the least was sent.
-    fn choose_receiving_zone(&self, cpu: u64, now: Moment) -> Option<ZoneName> {
-        let load = |name: &ZoneName| self.sent_millicores(name, now) + cpu.max(1) as f64;
-        let rated = self.redirect_targets(now).map(|(name, zone)| {
-            (name, zone.spare.total_millicores as f64 / load(name), load(name))
+    /// Returns the shard that should receive a job that needs `cpu` thousandths of a core: the one
+    /// with the highest ratio of spare CPU to the CPU sent there recently, so that each shard gets a
+    /// share by its spare CPU. If no shard has spare CPU, it is the one to which the least was sent.
+    fn choose_receiving_shard(&self, cpu: u64, now: Moment) -> Option<Shard> {
+        let load = |shard: &Shard| self.sent_millicores(shard, now) + cpu.max(1) as f64;
+        let rated = self.redirect_targets(now).map(|(shard, remote)| {
+            (shard, remote.spare.total_millicores as f64 / load(shard), load(shard))
         });
         let best = rated.max_by(|(_, spare, load), (_, other_spare, other_load)| {
             spare.total_cmp(other_spare).then(other_load.total_cmp(load))
         });
-        best.map(|(name, ..)| name.clone())
+        best.map(|(shard, ..)| shard.clone())
     }
 
-    fn sent_millicores(&self, zone: &ZoneName, now: Moment) -> f64 {
-        self.evacuations.sent.get(zone).map_or(0.0, |sent| sent.at(now))
+    fn sent_millicores(&self, shard: &Shard, now: Moment) -> f64 {
+        self.evacuations.sent.get(shard).map_or(0.0, |sent| sent.at(now))
     }
 }
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -296,7 +296,8 @@
         let open_steps: IndexSet<u32> = open_tasks.map(|(id, _)| id.step).collect();
         let steps = open_steps.iter().filter_map(|&n| job.submission.steps.get(n as usize));
         let fastest = steps.filter_map(|step| self.min_run_time(key, step, now)).max();
-        let remote_fast = self.remote_zones.values().map(|zone| zone.spare.fast_millicores).max();
+        let remote_fast =
+            self.remote_shards.values().map(|shard| shard.spare.fast_millicores).max();
         Outlook {
             left: job.deadline - now,
             fastest,
--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -5,6 +5,7 @@
     fleet_config::QueueName,
     id::ZoneName,
     job_submission::{CallerJobId, JobSubmission, Refusal, RunNumber, Step, TaskId},
+    shard::Shard,
     target::{RunOutcome, TargetId},
 };
 use derive_more::Display;
@@ -83,12 +84,12 @@
         /// Number of targets on which tasks may be started.
         usable: usize,
     },
-    /// A job was redirected to another zone.
+    /// A job was redirected to another shard.
     Redirected {
         /// Job id chosen by the caller.
         id: CallerJobId,
         /// Zone that should run the job.
-        zone: ZoneName,
+        shard: Shard,
         /// Spare CPU of this zone.
         local_spare: SpareCpu,
         /// Spare CPU of the other zone as last reported, minus the CPU that jobs redirected there
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -1,4 +1,5 @@
-//! Runs jobs on the leased targets of one availability zone, which one dispatcher owns at a time.
+//! Runs jobs on the leased targets of one shard of an availability zone, which one dispatcher owns at
+//! a time.
 //!
 //! Every run on a target holds a lease, which the owner renews. A dispatcher takes a target over
 //! with a higher fencing token: it lists the runs there, stops them, and starts tasks once none is
@@ -30,11 +31,11 @@
 use crate::state::{
     crash_history::CrashHistory,
     fleet_config::{FleetConfig, Label, PoolName, QueueName},
-    id::ZoneName,
     job_submission::{CallerJobId, JobSubmission, Outcome, RunNumber, TaskId},
     mechanism::{Mechanism, MechanismSet},
     rtt::RttEstimator,
     run_time::RunTimeEstimator,
+    shard::Shard,
     target::{FencingToken, Target, TargetId, TargetTime},
     time::Moment,
     token_bucket::TokenBucket,
@@ -101,13 +102,13 @@
         /// Outcome of the job.
         outcome: Outcome,
     },
-    /// Redirect the submitter to the dispatcher of another zone; nothing of the job has run.
+    /// Redirect the submitter to the dispatcher of another shard; nothing of the job has run.
     Redirect {
         /// Submission to redirect.
         key: SubmissionKey,
-        /// Zone that should run the job.
-        zone: ZoneName,
-        /// Address of that zone's dispatcher.
+        /// Shard that should run the job.
+        shard: Shard,
+        /// Address of that shard's dispatcher.
         to: SocketAddr,
     },
     /// Start sending the requests that [`Dispatcher::next_lease_renewal`] returns for this target.
@@ -133,10 +134,10 @@
     pub fast_millicores: u64,
 }
 
-/// Another zone, as last reported by its dispatcher.
+/// Another shard of this zone or of another one, as last reported by its dispatcher.
 #[derive(Clone, Debug)]
-pub struct RemoteZone {
-    /// Address of the zone's dispatcher.
+pub struct RemoteShard {
+    /// Address of the shard's dispatcher.
     pub address: SocketAddr,
     /// Reported spare CPU, minus the CPU that jobs redirected there since then need.
     pub spare: SpareCpu,
@@ -218,7 +219,7 @@
     orphaned_runs: IndexMap<CallerJobId, u32>,
     /// Submissions that wait until earlier runs of their tasks are closed.
     deferred: Vec<DeferredSubmission>,
-    remote_zones: IndexMap<ZoneName, RemoteZone>,
+    remote_shards: IndexMap<Shard, RemoteShard>,
     evacuations: Evacuations,
     /// Targets that were lost under tasks.
     crash_history: CrashHistory,
@@ -268,7 +269,7 @@
             queued_jobs: BTreeSet::new(),
             orphaned_runs: IndexMap::new(),
             deferred: Vec::new(),
-            remote_zones: IndexMap::new(),
+            remote_shards: IndexMap::new(),
             evacuations: Evacuations::default(),
             crash_history: CrashHistory::default(),
             crash_tokens: TokenBucket::new(0.0, 1.0),
@@ -334,15 +335,15 @@
         }
     }
 
-    /// Records the spare CPU that the dispatcher of another zone reports.
-    pub fn update_remote_zone(
+    /// Records the spare CPU that the dispatcher of another shard reports.
+    pub fn update_remote_shard(
         &mut self,
-        zone: ZoneName,
+        shard: Shard,
         address: SocketAddr,
         spare: SpareCpu,
         now: Moment,
     ) {
-        self.remote_zones.insert(zone, RemoteZone { address, spare, updated_at: now });
+        self.remote_shards.insert(shard, RemoteShard { address, spare, updated_at: now });
     }
 
     /// Spare CPU that other zones may use.
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -3,7 +3,7 @@
 //! The VMs of a zone that has no dispatcher connect to each other in rounds. At the end of a round
 //! each decides by [`Round::decide`] whether it becomes the dispatcher.
 
-use crate::state::id::VmName;
+use crate::state::{id::VmName, shard::ShardCount};
 use std::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 /// A VM does not become dispatcher for this long after its start, so that it first finds a
@@ -22,7 +22,7 @@
 const MAX_ROUNDS_OUTRANKED: u32 = 8;
 
 /// Number of VMs of a zone, the first by rank, that keep the list of targets up to date to take over
-/// at any moment. Others read it when they are elected, since reads by all VMs would grow with the
+/// at any moment; each shard has at least one. Others read it when they are elected, since reads by all VMs would grow with the
 /// product of VMs and targets.
 const STANDBY_VMS: usize = 3;
 
@@ -143,12 +143,17 @@
     strongest.iter().chain(others).collect()
 }
 
-/// Whether a VM is one of those that take over first. `others` are the other known VMs of its zone.
-pub fn is_standby<I>(rank: &Rank, others: I) -> bool
+/// Whether a VM is one of those that take over first. `others` are the other known VMs that may be
+/// elected for its shard, `shards` the number of shards of the zone. The strongest usually dispatches.
+pub fn is_standby<I>(rank: &Rank, others: I, shards: ShardCount) -> bool
 where
     I: IntoIterator<Item = Rank>,
 {
-    others.into_iter().filter(|other| other < rank).count() < STANDBY_VMS
+    let standbys = match shards {
+        ShardCount::ONE => STANDBY_VMS,
+        shards => 1 + STANDBY_VMS.div_ceil(usize::from(shards.get())),
+    };
+    others.into_iter().filter(|other| other < rank).count() < standbys
 }
 
 /// A dispatcher of a zone that has two, as both see it.
--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -78,9 +78,9 @@
                  waiting={waiting} usable={usable}"
             );
         }
-        LogEvent::Redirected { id, zone, local_spare, remote_spare, age } => {
+        LogEvent::Redirected { id, shard, local_spare, remote_spare, age } => {
             log::info!(
-                "dispatch: job {id} redirected to {zone}, free={}m fast={}m reported {age:?} ago, \
+                "dispatch: job {id} redirected to {shard}, free={}m fast={}m reported {age:?} ago, \
                  here free={}m fast={}m",
                 remote_spare.total_millicores,
                 remote_spare.fast_millicores,
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -1,4 +1,4 @@
-//! The dispatcher's role of this VM: becoming dispatcher and stepping down, and the driver that
+//! The dispatcher's role of this VM, for one shard of its zone: becoming dispatcher and stepping down, and the driver that
 //! carries out the actions of the dispatcher's core.
 
 use super::{Node, TargetClient};
@@ -14,6 +14,7 @@
     state::{
         crash_history::TaskLosses,
         job_submission::{JobSubmission, Outcome, Refusal},
+        shard::{Shard, ShardCount},
         target::{FencingToken, TargetId, TargetTime},
         time::Moment,
     },
@@ -43,11 +44,16 @@
 /// Number of low bits of a fencing token that hold a hash of the VM's name, which distinguishes the
 /// tokens of VMs that chose the same epoch.
 const FENCING_TOKEN_VM_BITS: u32 = 16;
-/// State of a VM while it is its zone's dispatcher.
+
+/// State of a VM while it is a dispatcher.
 pub struct DispatcherState {
     /// Decision core of the dispatcher.
     pub core: Dispatcher,
-    /// Epoch of this dispatcher: later dispatchers of a zone have higher ones.
+    /// Shard that it dispatches.
+    pub shard: Shard,
+    /// Number of shards of the zone when this VM became dispatcher.
+    pub shard_count: ShardCount,
+    /// Epoch of this dispatcher: later dispatchers of a shard have higher ones.
     pub epoch: u64,
     /// Address of the successor, once it has accepted the zone.
     pub successor: Option<SocketAddr>,
@@ -99,8 +105,8 @@
 where
     T: TargetClient,
 {
-    /// Makes this VM its zone's dispatcher, except for the targets in `kept`, which a predecessor
-    /// still uses. Does nothing if it is the dispatcher, is leaving or has no configuration.
+    /// Makes this VM the dispatcher of its shard, except for the targets in `kept`, which a predecessor
+    /// still uses. Does nothing if it is a dispatcher, is leaving or has no configuration.
     pub(super) fn become_dispatcher(self: &Rc<Self>, kept: Vec<TargetId>) {
         let Some(config) = self.config() else { return };
         if self.is_dispatcher() || self.is_leaving() {
@@ -121,11 +127,14 @@
         core.set_evacuated_zones(self.evacuations.borrow().zones(), now);
         let predecessor_has_targets = !kept.is_empty();
         core.set_predecessor_targets(kept, now);
-        log::info!("dispatch: this VM is now the dispatcher of {}, epoch {epoch}", self.me.zone);
-        *self.dispatcher_link.borrow_mut() = None;
+        let (shard, shard_count) = (self.own_shard(), self.shard_count());
+        log::info!("dispatch: this VM is now the dispatcher of {shard}, epoch {epoch}");
+        self.shard_link(shard.index).set(None);
         self.targets_wanted.notify_one();
         *self.dispatcher.borrow_mut() = Some(DispatcherState {
             core,
+            shard,
+            shard_count,
             epoch,
             successor: None,
             predecessor_has_targets,
@@ -163,7 +172,8 @@
         }
     }
 
-    /// Handles a heartbeat of another dispatcher of this zone: one of both steps down.
+    /// Handles a heartbeat of another dispatcher of this zone: one of both steps down if they dispatch
+    /// the same shard.
     pub(super) fn resolve_rival(self: &Rc<Self>, heartbeat: &Heartbeat) {
         let other = Rival {
             epoch: heartbeat.epoch,
@@ -171,13 +181,15 @@
             address: heartbeat.from.address,
         };
         let own = match &*self.dispatcher.borrow() {
-            Some(d) if d.successor.is_none() => {
+            Some(d)
+                if d.successor.is_none() && heartbeat.is_of_shard(d.shard.index, d.shard_count) =>
+            {
                 Rival { epoch: d.epoch, weight: self.me.weight, address: self.me.address }
             }
             _ => return,
         };
         if own.yields_to(&other) {
-            self.step_down("another dispatcher of the zone stays");
+            self.step_down("another dispatcher of the shard stays");
         }
     }
 
@@ -195,12 +207,12 @@
         }
     }
 
-    /// Records the spare CPU of another zone, as its dispatcher reports it.
-    pub(super) fn update_remote_zone(&self, heartbeat: &Heartbeat) {
+    /// Records the spare CPU of another shard, as its dispatcher reports it.
+    pub(super) fn update_remote_shard(&self, heartbeat: &Heartbeat) {
         let now = self.clock.now();
         if let Some(d) = &mut *self.dispatcher.borrow_mut() {
-            d.core.update_remote_zone(
-                heartbeat.from.zone.clone(),
+            d.core.update_remote_shard(
+                heartbeat.shard(),
                 heartbeat.from.address,
                 heartbeat.spare_cpu,
                 now,
@@ -208,9 +220,22 @@
         }
     }
 
-    /// Passes the current list of the zone's targets to the core.
+    /// Records the spare CPU of another shard of this zone, unless the sender divides the zone into
+    /// another number of them.
+    pub(super) fn update_sibling(&self, heartbeat: &Heartbeat) {
+        let count = self.shard_count();
+        let is_sibling = heartbeat.shard != self.shard_index();
+        if is_sibling && heartbeat.is_of_shard(heartbeat.shard, count) {
+            self.update_remote_shard(heartbeat);
+        }
+    }
+
+    /// Passes the current list of the shard's targets to the core.
     pub(super) fn update_targets(self: &Rc<Self>) {
-        let list = self.zone_targets();
+        if !self.is_dispatcher() {
+            return;
+        }
+        let list = self.shard_targets();
         let since = self.dispatcher.borrow().as_ref().map(|d| d.since);
         let known_targets = self.known_targets.borrow();
         let status = TargetListStatus {
@@ -372,6 +397,15 @@
         }
     }
 
+    /// Whether this dispatcher has the targets on which an earlier one of its shard may have started
+    /// tasks of a job: only then can it tell when none of them runs any more.
+    fn has_earlier_targets(&self, submission: &JobSubmission, options: DispatchOptions) -> bool {
+        self.dispatcher.borrow().as_ref().is_some_and(|d| {
+            d.shard_count == options.shard_count
+                && d.shard_count.shard_of_job(submission.id) == d.shard.index
+        })
+    }
+
     /// Submits a job to this VM's core and waits for its outcome. Dropping the future cancels the
     /// job.
     pub(super) async fn run_locally(
@@ -385,7 +419,10 @@
         let Some(epoch) = self.dispatcher.borrow().as_ref().map(|d| d.epoch) else {
             return DispatchReply::Ended(closed);
         };
-        let DispatchOptions { may_redirect, resumed } = options;
+        let DispatchOptions { may_redirect, resumed, .. } = options;
+        if resumed && !self.has_earlier_targets(&submission, options) {
+            return DispatchReply::Ended(Outcome::Unknown);
+        }
         let submitted =
             self.call_core(epoch, |core, now| core.submit(submission, may_redirect, resumed, now));
         // A task may have been started before the panic.
--- a/src/fleet/election.rs
+++ b/src/fleet/election.rs
@@ -1,14 +1,15 @@
-//! Election of the zone's dispatcher: finds the dispatcher of each zone, and makes this VM the
-//! dispatcher of its zone if there is none.
+//! Election of dispatchers: finds the dispatcher of each shard of this zone and one of each other
+//! zone, and makes this VM the dispatcher of its shard if there is none.
 
 use super::{Node, TargetClient};
 use crate::{
     coordination::election::{Answer, Decision, Rank, Round, peers_of_round},
     protocol::fleet::{Heartbeat, Peer},
-    state::{id::ZoneName, mechanism::Mechanism},
+    state::{id::ZoneName, mechanism::Mechanism, shard::ShardCount},
     transport::fleet::PeerLink,
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
+use indexmap::IndexMap;
 use std::{
     net::SocketAddr,
     rc::Rc,
@@ -29,6 +30,14 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(30);
 /// A dispatcher hands its zone over to a VM with more than this many times its processor share.
 const HANDOVER_WEIGHT_RATIO: f64 = 1.5;
+/// Number of the strongest VMs of a zone that read the list of targets as soon as their shard has no
+/// dispatcher, or a share of all VMs in a large zone: reads by all grow with the product of VMs and
+/// targets.
+const MAX_LIST_READERS: usize = 16;
+/// The share is one VM out of this many.
+const LIST_READERS_DIVISOR: usize = 4;
+/// Rounds after which any candidate reads the list.
+const ROUNDS_OF_STRONGEST: u32 = 4;
 /// Maximum number of VMs of other zones that a VM tries to reach, to find out whether it is cut off.
 const MAX_CONNECTIVITY_PROBES: usize = 4;
 
@@ -37,40 +46,33 @@
     Rank::new(peer.weight, peer.vm.clone())
 }
 
-fn is_dispatcher(link: &PeerLink) -> bool {
-    link.last_heartbeat().is_some_and(|heartbeat| heartbeat.is_from_dispatcher())
-}
-
 impl<T> Node<T>
 where
     T: TargetClient,
 {
-    /// Keeps a connection to the dispatcher of this VM's zone, elects one if there is none, and
-    /// announces this VM if it is the dispatcher.
-    pub async fn run_election(self: Rc<Self>) {
+    /// Keeps a connection to the dispatcher of a shard of this zone, elects one if there is none and
+    /// this VM is a candidate, and announces this VM if it is the dispatcher.
+    pub(super) async fn run_election(self: Rc<Self>, index: u16) {
+        let shard = self.shard_link(index);
         let mut links: Vec<Rc<PeerLink>> = Vec::new();
         loop {
-            if self.is_dispatcher() {
+            if self.dispatches(index) {
                 links = self.announce(links).await;
-                let has_all_targets =
-                    self.dispatcher.borrow().as_ref().is_some_and(|d| !d.predecessor_has_targets);
-                let stronger =
-                    links.iter().find(|link| has_all_targets && self.should_hand_over(link));
-                if let Some(stronger) = stronger {
-                    // This connection will carry jobs, so it needs frequent heartbeats.
-                    let connected = self.connect_all(&[stronger.address], HEARTBEAT_INTERVAL).await;
-                    if let Some(link) = connected.first() {
-                        self.hand_over(link).await;
-                    }
-                }
+                self.step_down_if_divided_anew();
+                self.hand_over_to_stronger(index, &links).await;
+                sleep(HEARTBEAT_INTERVAL).await;
+            } else if index >= self.shard_count().get() {
+                links.clear();
+                shard.set(None);
                 sleep(HEARTBEAT_INTERVAL).await;
-            } else if let Some(link) = self.dispatcher_link() {
+            } else if let Some(link) = shard.get() {
                 links.clear();
-                self.last_dispatcher.set(Some(link.address));
+                shard.last_dispatcher.set(Some(link.address));
                 let last = link.last_heartbeat();
-                if !last.as_ref().is_some_and(|heartbeat| heartbeat.is_from_dispatcher()) {
-                    *self.dispatcher_link.borrow_mut() = None;
-                    self.connect_successor(last.and_then(|heartbeat| heartbeat.dispatcher)).await;
+                if !self.is_dispatcher_of(&link, index) {
+                    shard.set(None);
+                    let successor = last.and_then(|heartbeat| heartbeat.dispatcher);
+                    self.connect_successor(index, successor).await;
                     continue;
                 }
                 tokio::select! {
@@ -78,19 +80,56 @@
                     () = sleep(HEARTBEAT_INTERVAL) => {}
                 }
             } else {
-                self.find_dispatcher().await;
+                self.find_dispatcher(index).await;
+            }
+            if index == 0 {
+                self.expire_undivided();
             }
         }
     }
 
-    /// Whether the zone should be handed over to a peer, since its processor share is much larger
+    /// Whether a peer dispatches the shard with this index, in the same division of the zone.
+    fn is_dispatcher_of(&self, link: &PeerLink, index: u16) -> bool {
+        link.last_heartbeat().is_some_and(|heartbeat| {
+            heartbeat.is_from_dispatcher() && heartbeat.is_of_shard(index, self.shard_count())
+        })
+    }
+
+    /// Steps down if the zone is divided into another number of shards than when this VM became
+    /// dispatcher: other VMs own a part of its targets from then on.
+    fn step_down_if_divided_anew(self: &Rc<Self>) {
+        let count = self.shard_count();
+        let own = self.dispatcher.borrow().as_ref().map(|d| d.shard_count);
+        if own.is_some_and(|own| own != count) {
+            self.step_down(&format!("the zone is divided into {count} shards now"));
+        }
+    }
+
+    /// Hands the shard over to a peer that may be elected for it and is much stronger.
+    async fn hand_over_to_stronger(self: &Rc<Self>, index: u16, links: &[Rc<PeerLink>]) {
+        let has_all_targets =
+            self.dispatcher.borrow().as_ref().is_some_and(|d| !d.predecessor_has_targets);
+        let is_stronger = |link: &&Rc<PeerLink>| self.should_hand_over(link, index);
+        let Some(stronger) = links.iter().find(is_stronger).filter(|_| has_all_targets) else {
+            return;
+        };
+        // This connection will carry jobs, so it needs frequent heartbeats.
+        let connected = self.connect_all(&[stronger.address], HEARTBEAT_INTERVAL).await;
+        if let Some(link) = connected.first() {
+            self.hand_over(link).await;
+        }
+    }
+
+    /// Whether the shard should be handed over to a peer, since its processor share is much larger
     /// and it has the same configuration.
-    fn should_hand_over(&self, link: &PeerLink) -> bool {
+    fn should_hand_over(&self, link: &PeerLink, index: u16) -> bool {
         let is_enabled = self.enables(Mechanism::Handover);
         link.last_heartbeat().filter(|_| is_enabled).is_some_and(|heartbeat| {
             let stronger = f64::from(heartbeat.from.weight)
                 > f64::from(self.me.weight) * HANDOVER_WEIGHT_RATIO;
-            stronger && !heartbeat.leaving && heartbeat.config_version == self.config_version()
+            let is_candidate = heartbeat.is_of_shard(index, self.shard_count());
+            let is_able = is_candidate && !heartbeat.is_from_dispatcher() && !heartbeat.leaving;
+            stronger && is_able && heartbeat.config_version == self.config_version()
         })
     }
 
@@ -141,62 +180,101 @@
         links
     }
 
-    /// Connects to the dispatcher that the previous one named as its successor.
-    async fn connect_successor(self: &Rc<Self>, hint: Option<SocketAddr>) {
+    /// Connects to the dispatcher of a shard that the previous one named as its successor.
+    async fn connect_successor(self: &Rc<Self>, index: u16, hint: Option<SocketAddr>) {
         let Some(hint) = hint.filter(|hint| *hint != self.me.address) else { return };
         let links = self.connect_all(&[hint], HEARTBEAT_INTERVAL).await;
-        if let Some(link) = best_dispatcher(&links) {
-            log::info!("peers: following the dispatcher at {}", link.address);
-            *self.dispatcher_link.borrow_mut() = Some(link);
+        if let Some(link) = self.best_dispatcher(&links, index) {
+            self.follow(index, link);
         }
     }
 
-    /// Connects to the VMs of the zone, round by round, until one of them is the dispatcher or this
-    /// VM becomes it.
-    async fn find_dispatcher(self: &Rc<Self>) {
-        self.dispatcher_missing_since.set(Instant::now());
+    fn follow(&self, index: u16, link: Rc<PeerLink>) {
+        let zone = &self.me.zone;
+        log::info!("peers: following the dispatcher of {zone}/{index} at {}", link.address);
+        self.shard_link(index).set(Some(link));
+    }
+
+    /// Returns the connection to the dispatcher of a shard with the highest epoch, if any peer is
+    /// one.
+    fn best_dispatcher(&self, links: &[Rc<PeerLink>], index: u16) -> Option<Rc<PeerLink>> {
+        let dispatchers = links.iter().filter(|link| self.is_dispatcher_of(link, index));
+        dispatchers.max_by_key(|l| l.last_heartbeat().map_or(0, |h| h.epoch)).cloned()
+    }
+
+    /// Returns the dispatcher of a shard that a VM follows, if any of them names one.
+    fn named_dispatcher(&self, links: &[Rc<PeerLink>], index: u16) -> Option<SocketAddr> {
+        let heartbeats = links.iter().filter_map(|link| link.last_heartbeat());
+        let mut of_shard = heartbeats.filter(|h| h.is_of_shard(index, self.shard_count()));
+        of_shard.find_map(|heartbeat| heartbeat.dispatcher)
+    }
+
+    /// Connects to the candidates of a shard, round by round, until one of them is its dispatcher or
+    /// this VM becomes it.
+    async fn find_dispatcher(self: &Rc<Self>, index: u16) {
+        let shard = self.shard_link(index);
+        shard.missing_since.set(Instant::now());
         let mut rounds = 0;
-        while !self.is_dispatcher() && self.dispatcher_link().is_none() {
-            let announced = self.announced_dispatcher.take();
+        while !self.dispatches(index) && shard.get().is_none() && index < self.shard_count().get() {
+            let announced = shard.announced.take();
             if announced.is_some() {
-                self.connect_successor(announced).await;
+                self.connect_successor(index, announced).await;
                 continue;
             }
             rounds += 1;
-            if self.zone_targets().is_empty() {
+            let is_candidate = self.shard_index() == index;
+            if is_candidate && self.lacks_targets(rounds) {
                 self.targets_wanted.notify_one();
             }
-            let peers = self.zone_peers();
+            let peers = self.shard_peers(index);
             let asked = peers_of_round(&peers, rounds);
             let addresses: Vec<SocketAddr> = asked.into_iter().map(|p| p.address).collect();
+            let is_found = |link: &PeerLink| self.is_dispatcher_of(link, index);
             let links = tokio::select! {
-                links = self.connect_until(&addresses, HEARTBEAT_INTERVAL, is_dispatcher) => links,
-                () = self.dispatcher_announced.notified() => continue,
+                links = self.connect_until(&addresses, HEARTBEAT_INTERVAL, is_found) => links,
+                () = shard.announced_notify.notified() => continue,
             };
-            if let Some(link) = best_dispatcher(&links) {
-                log::info!("peers: following the dispatcher at {}", link.address);
-                *self.dispatcher_link.borrow_mut() = Some(link);
-                return;
+            if let Some(link) = self.best_dispatcher(&links, index) {
+                return self.follow(index, link);
             }
-            self.connect_successor(named_dispatcher(&links)).await;
-            if self.dispatcher_link().is_some() {
+            self.connect_successor(index, self.named_dispatcher(&links, index)).await;
+            if shard.get().is_some() {
                 return;
             }
-            let may_become = match self.election_round(&links, &peers, rounds).decide() {
-                Decision::Wait => false,
-                Decision::BecomeIfConnected => self.reaches_other_zone().await,
-                Decision::Become => true,
-            };
-            if may_become {
-                return self.become_dispatcher(Vec::new());
+            // The heartbeats of the round may have changed the division.
+            if is_candidate && self.shard_index() == index && !self.is_dispatcher() {
+                let may_become = match self.election_round(index, &links, &peers, rounds).decide() {
+                    Decision::Wait => false,
+                    Decision::BecomeIfConnected => self.reaches_other_zone().await,
+                    Decision::Become => true,
+                };
+                if may_become && self.shard_index() == index {
+                    return self.become_dispatcher(Vec::new());
+                }
             }
             sleep(ROUND_PAUSE).await;
         }
     }
 
-    /// What this VM knows after a round of the election. `links` are the connections made in it,
-    /// `peers` the other known VMs of the zone.
-    fn election_round(&self, links: &[Rc<PeerLink>], peers: &[Peer], number: u32) -> Round {
+    /// Whether this VM should read the list of targets, since it may be elected soon and knows none.
+    /// In a large zone, the strongest VMs do so at once, the others when these are not elected.
+    fn lacks_targets(&self, rounds: u32) -> bool {
+        let peers = self.zone_peers();
+        let outranking = peers.iter().filter(|p| rank(p) < rank(&self.me)).count();
+        let is_strong = outranking < MAX_LIST_READERS.max(peers.len() / LIST_READERS_DIVISOR);
+        (is_strong || rounds > ROUNDS_OF_STRONGEST) && self.shard_targets().is_empty()
+    }
+
+    /// What this VM knows after a round of the election of a shard's dispatcher. `links` are the connections made in it,
+    /// `peers` the other candidates.
+    fn election_round(
+        &self,
+        index: u16,
+        links: &[Rc<PeerLink>],
+        peers: &[Peer],
+        number: u32,
+    ) -> Round {
+        let shard = self.shard_link(index);
         let own_rank = rank(&self.me);
         let heartbeats = links.iter().filter_map(|link| link.last_heartbeat());
         let answer = |h: Heartbeat| Answer { rank: rank(&h.from), leaving: h.leaving };
@@ -206,33 +284,33 @@
                 .filter(|peer| {
                     self.enables(Mechanism::StaggeredElections)
                         && rank(peer) < own_rank
-                        && Some(peer.address) != self.last_dispatcher.get()
+                        && Some(peer.address) != shard.last_dispatcher.get()
                 })
                 .count(),
             known_peers: peers.len(),
             rank: own_rank,
             number,
-            missing_for: self.dispatcher_missing_for(),
+            missing_for: shard.missing_for(),
             uptime: self.started.elapsed(),
             is_able: self.config().is_some() && !self.is_leaving(),
-            has_targets: !self.zone_targets().is_empty(),
+            has_targets: !self.shard_targets().is_empty(),
             knows_peers: self.knows_peers.get(),
             answers: heartbeats.map(answer).collect(),
         }
     }
 
-    /// Handles the heartbeat of another dispatcher of this zone: a VM that searches for one follows
-    /// it at once.
-    pub(super) fn on_dispatcher_announced(&self, address: SocketAddr) {
-        if !self.is_dispatcher() && self.dispatcher_link().is_none() {
-            self.announced_dispatcher.set(Some(address));
-            self.dispatcher_announced.notify_one();
+    /// Handles the heartbeat of another dispatcher of this zone: a VM that searches for one of its
+    /// shard follows it at once.
+    pub(super) fn on_dispatcher_announced(&self, heartbeat: &Heartbeat) {
+        let index = heartbeat.shard;
+        if !heartbeat.is_of_shard(index, self.shard_count()) || self.dispatches(index) {
+            return;
+        }
+        let shard = self.shard_link(index);
+        if shard.get().is_none() {
+            shard.announced.set(Some(heartbeat.from.address));
+            shard.announced_notify.notify_one();
         }
-    }
-
-    /// Time for which this VM has searched for its zone's dispatcher, if it has none.
-    pub(super) fn dispatcher_missing_for(&self) -> Duration {
-        self.dispatcher_missing_since.get().elapsed()
     }
 
     /// Whether a VM of another zone can be reached; true if none is known.
@@ -244,8 +322,8 @@
         others.is_empty() || !links.is_empty()
     }
 
-    /// While this VM is the dispatcher of its zone, keeps a connection to the dispatcher of `zone`,
-    /// which is another zone.
+    /// While this VM is a dispatcher, keeps a connection to a dispatcher of `zone`, which is another
+    /// zone: that of the shard with the same index, modulo the number of shards there.
     pub async fn maintain_zone_link(self: Rc<Self>, zone: ZoneName) {
         loop {
             let is_connected = self.zone_links.borrow().get(&zone).is_some_and(|link| {
@@ -262,19 +340,27 @@
         }
     }
 
-    /// Finds the dispatcher of another zone, from the hint first and then from the zone's VMs, and
+    /// Finds a dispatcher of another zone, from the hint first and then from the zone's VMs, and
     /// connects to it.
     async fn connect_zone(self: &Rc<Self>, zone: &ZoneName) {
         let hint = self.dispatcher_hints.borrow().get(zone).copied();
-        let peers = self.peers.borrow().clone();
+        let (index, count) = (self.shard_index(), self.shard_count());
+        let mut peers = self.peers_in(zone);
+        // The candidates of the shard that is wanted come first, if that zone has as many.
+        let positions: IndexMap<SocketAddr, usize> =
+            peers.iter().enumerate().map(|(n, peer)| (peer.address, n)).collect();
+        peers.sort_by_key(|p| count.shard_of_position(positions[&p.address]) != index);
         let mut addresses: Vec<SocketAddr> = hint.into_iter().collect();
-        let zone_peers = peers.values().filter(|p| p.zone == *zone).map(|p| p.address);
-        addresses.extend(zone_peers.filter(|a| Some(*a) != hint));
+        addresses.extend(peers.iter().map(|p| p.address).filter(|a| Some(*a) != hint));
         for address in addresses {
             let Some(link) = self.connect_all(&[address], HEARTBEAT_INTERVAL).await.pop() else {
                 continue;
             };
             let Some(heartbeat) = link.last_heartbeat() else { continue };
+            let there = heartbeat.shard_count.unwrap_or(ShardCount::ONE);
+            if heartbeat.shard != there.shard_of_position(usize::from(index)) {
+                continue;
+            }
             if heartbeat.is_from_dispatcher() {
                 self.zone_links.borrow_mut().insert(zone.clone(), link);
                 return;
@@ -290,23 +376,12 @@
         }
     }
 
-    /// Starts the election in this VM's zone and the connections to all other `zones`, which run
+    /// Starts the elections in this VM's zone and the connections to all other `zones`, which run
     /// until the process exits.
     pub fn spawn(self: &Rc<Self>, zones: Vec<ZoneName>) {
-        spawn_local(Rc::clone(self).run_election());
+        self.spawn_elections();
         for zone in zones.into_iter().filter(|z| *z != self.me.zone) {
             spawn_local(Rc::clone(self).maintain_zone_link(zone));
         }
     }
 }
-
-/// Returns the dispatcher that a VM of the zone follows, if any of them names one.
-fn named_dispatcher(links: &[Rc<PeerLink>]) -> Option<SocketAddr> {
-    links.iter().find_map(|link| link.last_heartbeat()?.dispatcher)
-}
-
-/// Returns the connection to the dispatcher with the highest epoch, if any peer is a dispatcher.
-fn best_dispatcher(links: &[Rc<PeerLink>]) -> Option<Rc<PeerLink>> {
-    let dispatchers = links.iter().filter(|link| is_dispatcher(link));
-    dispatchers.max_by_key(|l| l.last_heartbeat().map_or(0, |h| h.epoch)).cloned()
-}
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -1,6 +1,6 @@
 //! Takes callers' jobs, submits them to a dispatcher and returns their outcomes.
 
-use super::{Node, TargetClient, election};
+use super::{Node, TargetClient, election, shards::ShardLink};
 use crate::{
     coordination::election::{
         MAX_DISPATCHER_SEARCH, MIN_TIME_TO_RESUBMIT, should_await_dispatcher,
@@ -9,6 +9,7 @@
     state::{
         job_submission::{CallerJobId, JobSubmission, Outcome, Refusal},
         mechanism::Mechanism,
+        shard::ShardCount,
     },
     transport::{
         fleet::{DispatchOptions, PeerLink},
@@ -39,14 +40,14 @@
 /// Interval at which a job checks whether its zone has a dispatcher.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(15);
 
-/// Longest wait for a connection to another zone's dispatcher while this zone has none; round trips
+/// Longest wait for a connection to another zone's dispatcher while a shard here has none; round trips
 /// take a few milliseconds.
 const OTHER_ZONE_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A connection for redirected jobs is closed after this time without such a job.
 const REDIRECT_LINK_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A connection for jobs redirected to another zone's dispatcher, made once for all jobs that wait
+/// A connection for jobs redirected to another shard's dispatcher, made once for all jobs that wait
 /// for it.
 pub(super) type RedirectLink = Rc<OnceCell<Rc<PeerLink>>>;
 
@@ -83,7 +84,8 @@
     ) -> Outcome {
         let time_to_deadline = submission.time_to_deadline.min(self.time_to_exit());
         let submission = JobSubmission { time_to_deadline, ..submission };
-        let mut options = DispatchOptions { may_redirect: true, resumed: false };
+        let shard_count = self.shard_count();
+        let mut options = DispatchOptions { may_redirect: true, resumed: false, shard_count };
         loop {
             let time_to_deadline = submission.time_to_deadline.saturating_sub(begun.elapsed());
             let remaining = JobSubmission { time_to_deadline, ..submission.clone() };
@@ -123,7 +125,7 @@
                 Err(e) if can_resubmit => {
                     log::info!("entry: job {} lost its dispatcher: {e}", submission.id);
                     self.metrics.resumed();
-                    options = DispatchOptions { may_redirect: false, resumed: true };
+                    options = DispatchOptions { may_redirect: false, resumed: true, shard_count };
                 }
                 Err(_) => return Outcome::Unknown,
             }
@@ -131,12 +133,26 @@
         }
     }
 
-    /// Whether a job should wait for the election of this zone's dispatcher.
+    /// The connection to the dispatcher of the shard to which a job is submitted first.
+    fn link_for(&self, job: CallerJobId) -> Rc<ShardLink> {
+        self.shard_link(self.shard_count().shard_of_job(job))
+    }
+
+    /// Whether this VM dispatches the shard to which a job is submitted first.
+    fn dispatches_job(&self, job: CallerJobId) -> bool {
+        self.dispatches(self.shard_count().shard_of_job(job))
+    }
+
+    /// Whether a job should wait for the election of its shard's dispatcher.
     fn awaits_dispatcher(&self, submission: &JobSubmission, begun: Instant) -> bool {
         let waited = begun.elapsed();
         let time_to_deadline = submission.time_to_deadline.saturating_sub(waited);
         self.enables(Mechanism::ElectionWait)
-            && should_await_dispatcher(self.dispatcher_missing_for(), waited, time_to_deadline)
+            && should_await_dispatcher(
+                self.link_for(submission.id).missing_for(),
+                waited,
+                time_to_deadline,
+            )
     }
 
     /// Waits until this process can barely send an answer before it exits.
@@ -157,7 +173,7 @@
         })
     }
 
-    /// Waits until this zone has a dispatcher. A job that has not run waits only while an election is
+    /// Waits until a job's shard has a dispatcher. A job that has not run waits only while an election is
     /// probably in progress; others wait at most until [`MAX_DISPATCHER_SEARCH`] has passed since
     /// `begun`, since no other zone can run them.
     async fn wait_for_dispatcher(
@@ -167,8 +183,8 @@
         begun: Instant,
     ) {
         sleep(SEARCH_INTERVAL).await;
-        while !self.is_dispatcher()
-            && self.dispatcher_link().is_none()
+        while !self.dispatches_job(submission.id)
+            && self.link_for(submission.id).get().is_none()
             && begun.elapsed() < MAX_DISPATCHER_SEARCH
             && (options.resumed || self.awaits_dispatcher(submission, begun))
         {
@@ -176,33 +192,36 @@
         }
     }
 
-    /// Submits a job to this zone's dispatcher. If the zone has none, the job is submitted to
-    /// another zone's, unless runs of it may be left in this zone.
+    /// Submits a job to its shard's dispatcher. If there is none, the job is submitted to that of
+    /// another shard or zone, unless runs of it may be left.
     async fn submit_once(
         self: &Rc<Self>,
         submission: &JobSubmission,
         options: DispatchOptions,
     ) -> Result<DispatchReply, RpcError> {
-        if self.is_dispatcher() {
+        if options.resumed && options.shard_count != self.shard_count() {
+            return Ok(DispatchReply::Ended(Outcome::Unknown));
+        }
+        if self.dispatches_job(submission.id) {
             return Ok(self.run_locally(submission.clone(), options).await);
         }
-        if let Some(link) = self.dispatcher_link() {
+        if let Some(link) = self.link_for(submission.id).get() {
             return link.run(submission, options).await;
         }
         if options.resumed {
             return Ok(DispatchReply::Ended(Outcome::Unknown));
         }
-        let outcome = match self.any_zone_link(submission.id).await {
+        let outcome = match self.any_other_link(submission.id).await {
             Some(link) => run_redirected(&link, submission).await,
             None => NO_DISPATCHER,
         };
-        // This zone may still run a job that the other one refuses.
+        // This shard may still run a job that the other one refuses.
         let outcome =
             if matches!(outcome, Outcome::NotRun { .. }) { NO_DISPATCHER } else { outcome };
         Ok(DispatchReply::Ended(outcome))
     }
 
-    /// Submits a job to the dispatcher of another zone, to which this zone's redirected it.
+    /// Submits a job to the dispatcher of another shard, to which its own redirected it.
     async fn submit_to(self: &Rc<Self>, to: SocketAddr, submission: &JobSubmission) -> Outcome {
         match self.redirect_link(to).await {
             Ok(link) => run_redirected(&link, submission).await,
@@ -215,6 +234,9 @@
 
     /// Returns the connection to the dispatcher at `to` for redirected jobs, made if there is none.
     async fn redirect_link(self: &Rc<Self>, to: SocketAddr) -> Result<Rc<PeerLink>, RpcError> {
+        if let Some(link) = self.open_shard_links().into_iter().find(|link| link.address == to) {
+            return Ok(link);
+        }
         let known = self.redirect_links.borrow().get(&to).cloned();
         let usable = known.filter(|cell| cell.get().is_none_or(|link| !link.is_closed()));
         let cell = usable.unwrap_or_default();
@@ -244,9 +266,13 @@
         }
     }
 
-    /// Returns a connection to the dispatcher of another zone, or `None` if none can be reached. Jobs
-    /// are spread over the zones by their ids.
-    async fn any_zone_link(self: &Rc<Self>, id: CallerJobId) -> Option<Rc<PeerLink>> {
+    /// Returns a connection to the dispatcher of another shard, one of this zone if possible, or `None`
+    /// if none can be reached. Jobs are spread by their ids.
+    async fn any_other_link(self: &Rc<Self>, id: CallerJobId) -> Option<Rc<PeerLink>> {
+        let siblings = self.open_shard_links();
+        if !siblings.is_empty() {
+            return siblings.get(id.0 as usize % siblings.len()).cloned();
+        }
         let hints: Vec<_> = self
             .dispatcher_hints
             .borrow()
@@ -266,9 +292,10 @@
     }
 }
 
-/// Submits a job to another zone's dispatcher, which may refuse it but not redirect it again.
+/// Submits a job to another shard's dispatcher, which may refuse it but not redirect it again.
 async fn run_redirected(link: &PeerLink, submission: &JobSubmission) -> Outcome {
-    let options = DispatchOptions { may_redirect: false, resumed: false };
+    let shard_count = ShardCount::ONE; // Of no use to a dispatcher that has not run the job before.
+    let options = DispatchOptions { may_redirect: false, resumed: false, shard_count };
     match link.run(submission, options).await {
         Ok(DispatchReply::Ended(outcome)) => outcome,
         Ok(DispatchReply::Redirected(to)) => {
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -1,4 +1,4 @@
-//! Hands the dispatcher's role over to a successor, without interrupting running tasks.
+//! Hands the role of a shard's dispatcher over to a successor, without interrupting running tasks.
 //!
 //! The leaving dispatcher accepts no new jobs. It keeps all targets while tasks wait, then those
 //! with runs. The successor takes over the targets that are not kept, and all of them once the
@@ -26,7 +26,7 @@
 where
     T: TargetClient,
 {
-    /// If this VM is the dispatcher, hands the zone over to the first peer that accepts it, in the
+    /// If this VM is a dispatcher, hands its shard over to the first candidate that accepts it, in the
     /// order of their rank.
     pub(super) async fn hand_over_zone(self: Rc<Self>) {
         let begun = Instant::now();
@@ -34,15 +34,17 @@
             && self.is_dispatcher()
             && begun.elapsed() < MAX_HANDOVER
         {
-            for peer in self.zone_peers() {
+            let (index, count) = (self.shard_index(), self.shard_count());
+            for peer in self.shard_peers(index) {
                 let Ok(link) =
                     PeerLink::connect(&self, peer.address, election::HEARTBEAT_INTERVAL).await
                 else {
                     continue;
                 };
-                if link.last_heartbeat().is_some_and(|heartbeat| !heartbeat.leaving)
-                    && self.hand_over(&link).await
-                {
+                let is_able = link.last_heartbeat().is_some_and(|heartbeat| {
+                    !heartbeat.leaving && heartbeat.is_of_shard(index, count)
+                });
+                if is_able && self.hand_over(&link).await {
                     return;
                 }
             }
@@ -58,20 +60,20 @@
         self.dispatcher.borrow_mut().as_mut().map(f)
     }
 
-    /// Hands the zone over to one peer, and returns when no target is kept any more. Returns false
-    /// if the peer does not accept the zone.
+    /// Hands the shard over to one peer, and returns when no target is kept any more. Returns false
+    /// if the peer does not accept it.
     pub(super) async fn hand_over(self: &Rc<Self>, link: &Rc<PeerLink>) -> bool {
-        let all = || self.zone_targets().into_iter().map(|t| t.id).collect::<Vec<TargetId>>();
+        let all = || self.shard_targets().into_iter().map(|t| t.id).collect::<Vec<TargetId>>();
         let Some(epoch) = self.with_dispatcher(|d| d.epoch) else { return true };
         if !matches!(link.hand_over(epoch, &all()).await, Ok(true)) {
             return false;
         }
-        log::info!("dispatch: handing {} over to {}", self.me.zone, link.address);
+        log::info!("dispatch: handing {} over to {}", self.own_shard(), link.address);
         self.with_dispatcher(|d| {
             d.successor = Some(link.address);
             d.core.begin_handover();
         });
-        *self.dispatcher_link.borrow_mut() = Some(Rc::clone(link));
+        self.shard_link(self.shard_index()).set(Some(Rc::clone(link)));
         let begun = Instant::now();
         loop {
             let kept = self.with_dispatcher(|d| d.core.targets_in_use()).unwrap_or_default();
@@ -87,15 +89,15 @@
         true
     }
 
-    /// Takes the zone over from a leaving dispatcher with this epoch, except the targets in `kept`,
+    /// Takes the shard over from a leaving dispatcher with this epoch, except the targets in `kept`,
     /// which it still uses; called again with each new list. Returns false if this VM refuses.
     pub(super) fn take_over_from(self: &Rc<Self>, epoch: u64, kept: Vec<TargetId>) -> bool {
         self.highest_epoch.set(self.highest_epoch.get().max(epoch));
         if self.with_dispatcher(|d| d.successor.is_some()) == Some(true) {
-            return false; // This VM is handing the zone over itself.
+            return false; // This VM is handing its shard over itself.
         }
         if !self.is_dispatcher() {
-            if self.is_leaving() || self.config().is_none() || self.zone_targets().is_empty() {
+            if self.is_leaving() || self.config().is_none() || self.shard_targets().is_empty() {
                 return false;
             }
             self.become_dispatcher(kept);
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -132,12 +132,9 @@
         let values = [
             ("config_version", "Configuration version in force", self.config_version().0),
             ("ready", "Whether new requests should be sent here", u64::from(self.is_ready())),
-            (
-                "dispatches",
-                "Whether this VM is its zone's dispatcher",
-                u64::from(self.is_dispatcher()),
-            ),
-            ("known_targets", "Targets of the zone", self.zone_targets().len() as u64),
+            ("dispatches", "Whether this VM is a dispatcher", u64::from(self.is_dispatcher())),
+            ("known_targets", "Targets of this VM's shard", self.shard_targets().len() as u64),
+            ("shards", "Shards of the zone", u64::from(self.shard_count().get())),
             (
                 "usable_targets",
                 "Targets that this dispatcher may start work on",
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub mod evacuation;
 pub mod handover;
 pub mod metrics;
+pub mod shards;
 
 use crate::{
     coordination::{
@@ -93,20 +94,12 @@
     known_targets: RefCell<KnownTargets>,
     /// Signals that the list of targets should be read at once.
     targets_wanted: Notify,
-    /// When this VM last began to search for its zone's dispatcher.
-    dispatcher_missing_since: Cell<Instant>,
-    /// Address of the dispatcher that this VM followed last.
-    last_dispatcher: Cell<Option<SocketAddr>>,
-    /// Address of a dispatcher of this zone that has announced itself during the search.
-    announced_dispatcher: Cell<Option<SocketAddr>>,
-    /// Signals that [`Node::announced_dispatcher`] is set.
-    dispatcher_announced: Notify,
+    /// The shards of this zone and the connections to their dispatchers.
+    division: shards::Division,
     /// Losses of targets that dispatchers have reported, while this VM is none.
     crash_history: RefCell<CrashHistory>,
-    /// State of the dispatcher, while this VM is its zone's.
+    /// State of the dispatcher, while this VM is one.
     dispatcher: RefCell<Option<DispatcherState>>,
-    /// Connection to the dispatcher of this VM's zone, while that is another VM.
-    dispatcher_link: RefCell<Option<Rc<PeerLink>>>,
     /// Connections to the dispatchers of other zones.
     zone_links: RefCell<IndexMap<ZoneName, Rc<PeerLink>>>,
     /// Connections to dispatchers of other zones for redirected jobs.
@@ -148,13 +141,9 @@
             knows_peers: Cell::default(),
             known_targets: RefCell::default(),
             targets_wanted: Notify::new(),
-            dispatcher_missing_since: Cell::new(Instant::now()),
-            last_dispatcher: Cell::default(),
-            announced_dispatcher: Cell::default(),
-            dispatcher_announced: Notify::new(),
+            division: shards::Division::default(),
             crash_history: RefCell::default(),
             dispatcher: RefCell::default(),
-            dispatcher_link: RefCell::default(),
             zone_links: RefCell::default(),
             redirect_links: RefCell::default(),
             dispatcher_hints: RefCell::default(),
@@ -203,24 +192,30 @@
     }
 
     /// Adds VMs from the platform's list to the known peers, and updates those that were restarted.
-    pub fn add_peers(&self, list: Vec<Peer>) {
+    pub fn add_peers(self: &Rc<Self>, list: Vec<Peer>) {
         self.knows_peers.set(true);
+        let mut changed = false;
         for peer in list {
-            self.add_peer(peer);
+            changed |= self.add_peer(peer);
+        }
+        if changed {
+            self.count_shards();
         }
     }
 
-    /// Adds or updates a peer, unless the same or a later incarnation of it is known.
-    fn add_peer(&self, peer: Peer) {
+    /// Adds or updates a peer, unless the same or a later incarnation of it is known. Returns whether
+    /// it did.
+    fn add_peer(&self, peer: Peer) -> bool {
         if peer.vm == self.me.vm {
-            return;
+            return false;
         }
         let mut peers = self.peers.borrow_mut();
         match peers.get(&peer.vm) {
-            Some(known) if known.incarnation >= peer.incarnation => {}
+            Some(known) if known.incarnation >= peer.incarnation => false,
             _ => {
                 log::info!("peers: added {} of {} at {}", peer.vm, peer.zone, peer.address);
                 peers.insert(peer.vm.clone(), peer);
+                true
             }
         }
     }
@@ -229,6 +224,9 @@
     pub fn on_targets_read(self: &Rc<Self>, list: Option<Vec<TargetInfo>>) {
         let now = self.clock.now();
         let changed = self.known_targets.borrow_mut().on_list_read(list, now);
+        if changed {
+            self.count_shards();
+        }
         if changed || self.is_dispatcher() {
             self.update_targets();
         }
@@ -249,36 +247,37 @@
         known_targets.targets().filter(|t| t.zone == *zone).cloned().collect()
     }
 
-    fn zone_targets(&self) -> Vec<TargetInfo> {
-        self.targets_in(&self.me.zone)
-    }
-
     /// The other known VMs of this zone, the one with the largest processor share first.
     fn zone_peers(&self) -> Vec<Peer> {
+        self.peers_in(&self.me.zone)
+    }
+
+    fn peers_in(&self, zone: &ZoneName) -> Vec<Peer> {
         let peers = self.peers.borrow();
-        let mut found: Vec<Peer> =
-            peers.values().filter(|p| p.zone == self.me.zone).cloned().collect();
+        let mut found: Vec<Peer> = peers.values().filter(|p| p.zone == *zone).cloned().collect();
         found.sort_by_key(election::rank);
         found
     }
 
-    /// Whether this VM keeps the list of targets up to date: it is the dispatcher, or one of the VMs
-    /// of its zone that would be elected next.
+    /// Whether this VM keeps the list of targets up to date: it is a dispatcher, or one of the VMs
+    /// that would be elected next for its shard.
     pub fn follows_targets(&self) -> bool {
-        let others = self.zone_peers();
-        self.is_dispatcher()
-            || !self.enables(Mechanism::Standbys)
-            || is_standby(&election::rank(&self.me), others.iter().map(election::rank))
+        if self.is_dispatcher() || !self.enables(Mechanism::Standbys) {
+            return true;
+        }
+        let others = self.shard_peers(self.shard_index());
+        let others = others.iter().map(election::rank);
+        is_standby(&election::rank(&self.me), others, self.shard_count())
     }
 
-    /// Whether new requests should be sent to this VM: it has a configuration, its zone has a
-    /// dispatcher, and it is not leaving.
+    /// Whether new requests should be sent to this VM: it has a configuration, a shard of its zone has
+    /// a dispatcher, and it is not leaving.
     pub fn is_ready(&self) -> bool {
-        let has_dispatcher = self.is_dispatcher() || self.dispatcher_link().is_some();
+        let has_dispatcher = self.is_dispatcher() || !self.open_shard_links().is_empty();
         self.config.borrow().is_some() && has_dispatcher && !self.is_leaving()
     }
 
-    /// Whether this VM is its zone's dispatcher and has not handed the zone over.
+    /// Whether this VM dispatches a shard of its zone and has not handed it over.
     pub fn is_dispatcher(&self) -> bool {
         self.dispatcher.borrow().as_ref().is_some_and(|d| d.successor.is_none())
     }
@@ -288,7 +287,7 @@
         self.exits_at.get().is_some()
     }
 
-    /// Starts to leave: this VM is no longer ready, and hands its zone over if it is the
+    /// Starts to leave: this VM is no longer ready, and hands its shard over if it is a
     /// dispatcher. Jobs in progress are run to their end. The process exits after `span`; jobs that
     /// can't be done by then are refused.
     pub fn leave(self: &Rc<Self>, span: Duration) {
@@ -297,17 +296,13 @@
         spawn_local(Rc::clone(self).hand_over_zone());
     }
 
-    /// The connection to this zone's dispatcher, if that is another VM and it is open.
-    fn dispatcher_link(&self) -> Option<Rc<PeerLink>> {
-        self.dispatcher_link.borrow().clone().filter(|link| !link.is_closed())
-    }
-
-    /// Address of this zone's dispatcher: this VM, its successor or the VM that it is connected to.
+    /// Address of the dispatcher of this VM's shard: this VM, its successor or the VM that it is
+    /// connected to.
     fn dispatcher_address(&self) -> Option<SocketAddr> {
         if let Some(d) = &*self.dispatcher.borrow() {
             return Some(d.successor.unwrap_or(self.me.address));
         }
-        self.dispatcher_link().map(|link| link.address)
+        self.shard_link(self.shard_index()).get().map(|link| link.address)
     }
 
     /// Starts to fetch the configuration from a peer, unless that is in progress.
@@ -336,7 +331,8 @@
         from: SocketAddr,
     ) -> Result<(), crate::transport::rpc::RpcError> {
         let link = PeerLink::connect(self, from, election::IDLE_HEARTBEAT_INTERVAL).await?;
-        let zone = self.zone_targets().is_empty().then_some(&self.me.zone);
+        let knows_targets = !self.targets_in(&self.me.zone).is_empty();
+        let zone = (!knows_targets).then_some(&self.me.zone);
         let snapshot = link.snapshot(zone).await?;
         // Before the configuration, with which this VM may become the dispatcher.
         self.merge_evacuations(&snapshot.evacuations, &format!("the VM at {from}"));
@@ -359,7 +355,9 @@
         match serde_json::from_slice::<Vec<TargetInfo>>(encoded) {
             Ok(list) => {
                 log::info!("targets: {} received from the VM at {from}", list.len());
-                if self.known_targets.borrow_mut().add_missing(list) {
+                let changed = self.known_targets.borrow_mut().add_missing(list);
+                if changed {
+                    self.count_shards();
                     self.update_targets();
                 }
             }
@@ -390,6 +388,8 @@
         Heartbeat {
             from: self.me.clone(),
             config_version: self.config_version(),
+            shard: self.shard_index(),
+            shard_count: self.reported_shard_count(),
             dispatcher: self.dispatcher_address(),
             epoch,
             spare_cpu,
@@ -405,24 +405,28 @@
         if heartbeat.config_version > self.config_version() {
             self.fetch_config(heartbeat.from.address);
         }
-        self.add_peer(heartbeat.from.clone());
+        if self.add_peer(heartbeat.from.clone()) {
+            self.update_division();
+        }
         self.highest_epoch.set(self.highest_epoch.get().max(heartbeat.epoch));
         if !heartbeat.losses.is_empty() {
             self.merge_losses(heartbeat.losses.clone());
         }
         if heartbeat.from.zone == self.me.zone {
+            self.on_shard_count(&heartbeat);
             for zone in &heartbeat.zones {
                 self.dispatcher_hints.borrow_mut().insert(zone.zone.clone(), zone.address);
             }
             if heartbeat.is_from_dispatcher() {
                 self.resolve_rival(&heartbeat);
-                self.on_dispatcher_announced(heartbeat.from.address);
+                self.update_sibling(&heartbeat);
+                self.on_dispatcher_announced(&heartbeat);
             }
         } else if heartbeat.is_from_dispatcher() {
             self.dispatcher_hints
                 .borrow_mut()
                 .insert(heartbeat.from.zone.clone(), heartbeat.from.address);
-            self.update_remote_zone(&heartbeat);
+            self.update_remote_shard(&heartbeat);
         }
     }
 
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -11,6 +11,7 @@
         id::{ConfigVersion, Incarnation, VmName, ZoneName},
         job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, Step, TaskId},
         resources::{Accelerators, Mebibytes, MilliCores, Resources},
+        shard::{Shard, ShardCount},
         target::{TargetId, TargetIncarnation},
     },
 };
@@ -32,6 +33,9 @@
     pub weight: u32,
     /// Incarnation of the VM's process; higher after each restart.
     pub incarnation: Incarnation,
+    /// Whether the VM's version can divide a zone into shards.
+    #[serde(default)]
+    pub knows_shards: bool,
 }
 
 /// Reply to a request to run a job.
@@ -60,10 +64,15 @@
     pub from: Peer,
     /// Version of the configuration in force at the sender.
     pub config_version: ConfigVersion,
-    /// Address of the dispatcher of the sender's zone, if one is known.
+    /// Index of the shard whose dispatcher the sender is, or for which it may be elected.
+    pub shard: u16,
+    /// Number of shards of the sender's zone; `None` if the sender is of a version that doesn't know
+    /// shards, or knows such a VM in its zone.
+    pub shard_count: Option<ShardCount>,
+    /// Address of the dispatcher of the sender's shard, if one is known.
     pub dispatcher: Option<SocketAddr>,
     /// Epoch under which the sender dispatches, zero if it does not. If two VMs dispatch for the
-    /// same zone, the one with the higher epoch remains its dispatcher.
+    /// same shard, the one with the higher epoch remains its dispatcher.
     pub epoch: u64,
     /// Free processor capacity of the sender's targets that other zones may use; zero unless it is
     /// a dispatcher.
@@ -79,10 +88,20 @@
 }
 
 impl Heartbeat {
-    /// Whether the sender is the dispatcher of its zone.
+    /// Whether the sender is the dispatcher of its shard.
     pub fn is_from_dispatcher(&self) -> bool {
         self.dispatcher == Some(self.from.address)
     }
+
+    /// The sender's shard.
+    pub fn shard(&self) -> Shard {
+        Shard { zone: self.from.zone.clone(), index: self.shard }
+    }
+
+    /// Whether the sender's shard is the one with this index in a zone with so many shards.
+    pub fn is_of_shard(&self, index: u16, count: ShardCount) -> bool {
+        self.shard == index && self.shard_count.unwrap_or(ShardCount::ONE) == count
+    }
 }
 
 /// The configuration, VMs, targets and evacuated zones known to a VM, sent to a peer on request.
@@ -171,6 +190,7 @@
         address: read_address(r.get_address()?)?,
         weight: r.get_weight(),
         incarnation: Incarnation(r.get_incarnation()),
+        knows_shards: r.get_knows_shards(),
     })
 }
 
@@ -181,6 +201,7 @@
     b.set_address(peer.address.to_string().as_str());
     b.set_weight(peer.weight);
     b.set_incarnation(peer.incarnation.0);
+    b.set_knows_shards(peer.knows_shards);
 }
 
 /// Reads a heartbeat.
@@ -200,6 +221,11 @@
     Ok(Heartbeat {
         from: read_peer(r.get_from()?)?,
         config_version: ConfigVersion(r.get_plan_version()),
+        shard: r.get_shard(),
+        shard_count: match r.get_shard_count() {
+            0 => None,
+            count => Some(ShardCount::from_wire(count)),
+        },
         dispatcher: if dispatcher.is_empty() { None } else { Some(read_address(dispatcher)?) },
         epoch: r.get_epoch(),
         spare_cpu: SpareCpu {
@@ -245,6 +271,8 @@
 pub fn write_heartbeat(heartbeat: &Heartbeat, mut b: wire::beat::Builder<'_>) {
     write_peer(&heartbeat.from, b.reborrow().init_from());
     b.set_plan_version(heartbeat.config_version.0);
+    b.set_shard(heartbeat.shard);
+    b.set_shard_count(heartbeat.shard_count.map_or(0, ShardCount::get));
     if let Some(dispatcher) = heartbeat.dispatcher {
         b.set_dispatcher(dispatcher.to_string().as_str());
     }
--- a/src/protocol/fleet_capnp.rs
+++ b/src/protocol/fleet_capnp.rs
@@ -98,6 +98,10 @@
         pub fn get_incarnation(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_knows_shards(self) -> bool {
+            self.reader.get_bool_field(32)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -216,6 +220,14 @@
         pub fn set_incarnation(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_knows_shards(self) -> bool {
+            self.builder.get_bool_field(32)
+        }
+        #[inline]
+        pub fn set_knows_shards(&mut self, value: bool)  {
+            self.builder.set_bool_field(32, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -227,7 +239,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(81, 103, 216, 68, 96, 68, 233, 150),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
@@ -237,49 +249,56 @@
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 77, 101, 109, 98),
             ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 32, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(177, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -321,6 +340,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 110, 111, 119, 115, 83, 104, 97),
+            ::capnp::word(114, 100, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -329,6 +357,7 @@
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -342,9 +371,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,0,3,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,5,0,3,1];
         pub(crate) const TYPE_ID: u64 = 0x96e9_4460_44d8_6751;
     }
 }
@@ -2788,6 +2817,14 @@
         pub fn has_evacuated_zones(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_shard(self) -> u16 {
+            self.reader.get_data_field::<u16>(13)
+        }
+        #[inline]
+        pub fn get_shard_count(self) -> u16 {
+            self.reader.get_data_field::<u16>(14)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -2970,6 +3007,22 @@
         pub fn has_evacuated_zones(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_shard(self) -> u16 {
+            self.builder.get_data_field::<u16>(13)
+        }
+        #[inline]
+        pub fn set_shard(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(13, value);
+        }
+        #[inline]
+        pub fn get_shard_count(self) -> u16 {
+            self.builder.get_data_field::<u16>(14)
+        }
+        #[inline]
+        pub fn set_shard_count(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(14, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2984,7 +3037,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 202] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 233] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(34, 56, 224, 208, 143, 112, 106, 164),
             ::capnp::word(12, 0, 0, 0, 1, 0, 6, 0),
@@ -2994,91 +3047,105 @@
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 66, 101, 97, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 162, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(81, 103, 216, 68, 96, 68, 233, 150),
@@ -3187,6 +3254,23 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 104, 97, 114, 100, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 104, 97, 114, 100, 67, 111, 117),
+            ::capnp::word(110, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3201,6 +3285,8 @@
                 8 => <::capnp::struct_list::Owned<crate::fleet_capnp::task_losses::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                12 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3214,9 +3300,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,10,9,0,6,8,1,7,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,10,9,0,6,8,1,11,12,7,4,5];
         pub(crate) const TYPE_ID: u64 = 0xa46a_708f_d0e0_3822;
     }
 }
@@ -3893,6 +3979,10 @@
             pub fn get_resumed(self) -> bool {
                 self.reader.get_bool_field(1)
             }
+            #[inline]
+            pub fn get_shard_count(self) -> u16 {
+                self.reader.get_data_field::<u16>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -3979,6 +4069,14 @@
             pub fn set_resumed(&mut self, value: bool)  {
                 self.builder.set_bool_field(1, value);
             }
+            #[inline]
+            pub fn get_shard_count(self) -> u16 {
+                self.builder.get_data_field::<u16>(1)
+            }
+            #[inline]
+            pub fn set_shard_count(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3993,7 +4091,7 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(206, 99, 18, 20, 101, 108, 118, 215),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
@@ -4003,35 +4101,42 @@
                 ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
                 ::capnp::word(46, 114, 117, 110, 36, 80, 97, 114),
                 ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(119, 111, 114, 107, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(135, 151, 29, 207, 150, 117, 59, 249),
@@ -4056,12 +4161,22 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 104, 97, 114, 100, 67, 111, 117),
+                ::capnp::word(110, 116, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::fleet_capnp::work::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4075,9 +4190,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,3,0];
             pub(crate) const TYPE_ID: u64 = 0xd776_6c65_1412_63ce;
         }
     }
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -86,6 +86,8 @@
     Handover,
     /// Only the dispatcher and the VMs that may succeed it follow the list of targets.
     Standbys,
+    /// The targets of a large zone are divided among several dispatchers.
+    Shards,
     /// Weaker VMs of a zone wait longer before they become dispatcher.
     StaggeredElections,
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -18,6 +18,7 @@
 pub mod resources;
 pub mod rtt;
 pub mod run_time;
+pub mod shard;
 pub mod target;
 pub mod time;
 pub mod token_bucket;
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -15,6 +15,7 @@
     state::{
         id::{ConfigVersion, ZoneName},
         job_submission::{JobSubmission, Outcome},
+        shard::ShardCount,
         target::TargetId,
     },
 };
@@ -48,8 +49,10 @@
 pub struct DispatchOptions {
     /// Whether the receiver may redirect the job to another zone's dispatcher.
     pub may_redirect: bool,
-    /// Whether the job may have run under an earlier dispatcher of the zone.
+    /// Whether the job may have run under an earlier dispatcher of the shard.
     pub resumed: bool,
+    /// Number of shards by which the sender chose the dispatcher.
+    pub shard_count: ShardCount,
 }
 
 /// Handles the calls of peers to this VM.
@@ -117,9 +120,13 @@
         params: peer::RunParams,
         mut results: peer::RunResults,
     ) -> Result<(), capnp::Error> {
-        let may_redirect = params.get()?.get_may_pass();
-        let options = DispatchOptions { may_redirect, resumed: params.get()?.get_resumed() };
-        let job = read_job_submission(params.get()?.get_work()?)?;
+        let params = params.get()?;
+        let options = DispatchOptions {
+            may_redirect: params.get_may_pass(),
+            resumed: params.get_resumed(),
+            shard_count: ShardCount::from_wire(params.get_shard_count()),
+        };
+        let job = read_job_submission(params.get_work()?)?;
         let reply = tokio::select! {
             reply = self.handler.run(job, options) => reply,
             () = self.wait_until_unresponsive() => DispatchReply::Ended(Outcome::Unknown),
@@ -274,6 +281,7 @@
         let mut req = self.client.run_request();
         req.get().set_may_pass(options.may_redirect);
         req.get().set_resumed(options.resumed);
+        req.get().set_shard_count(options.shard_count.get());
         write_job_submission(job, req.get().init_work());
         let reply = async {
             let res = req.send().promise.await?;
--- a/tests/dispatch/evacuation.rs
+++ b/tests/dispatch/evacuation.rs
@@ -26,7 +26,7 @@
 
 fn report_spare_cpu(sim: &mut Simulation, zone: &str, total_millicores: u64) {
     let spare = SpareCpu { total_millicores, fast_millicores: 0 };
-    sim.dispatcher.update_remote_zone(zone.parse().unwrap(), address(zone), spare, sim.now);
+    sim.dispatcher.update_remote_shard(zone.parse().unwrap(), address(zone), spare, sim.now);
 }
 
 /// A simulation whose long jobs may wait until earlier ones have ended.
--- a/tests/dispatch/large_jobs.rs
+++ b/tests/dispatch/large_jobs.rs
@@ -20,7 +20,7 @@
     let mut sim = Simulation::with_speeds(&[2.0, 0.8]);
     let spare = SpareCpu { total_millicores: 64_000, fast_millicores: 28_000 };
     let address = ([127, 0, 0, 1], 9_999).into();
-    sim.dispatcher.update_remote_zone("other".parse().unwrap(), address, spare, sim.now);
+    sim.dispatcher.update_remote_shard("other".parse().unwrap(), address, spare, sim.now);
     let key = sim.submit(longer_than_declared(1, 4, 300, 4_000));
     sim.run(ms(1_000));
     assert_eq!(sim.outcome(key), Some(Outcome::Unknown));
--- a/tests/dispatch/load.rs
+++ b/tests/dispatch/load.rs
@@ -103,7 +103,7 @@
     let other = "other".parse().unwrap();
     let address = ([127, 0, 0, 1], 9_999).into();
     let spare = SpareCpu { total_millicores: 64_000, fast_millicores: 0 };
-    sim.dispatcher.update_remote_zone(other, address, spare, sim.now);
+    sim.dispatcher.update_remote_shard(other, address, spare, sim.now);
     let starts = sim.start_count();
     let key = sim.submit_with(submission(2, URGENT, 2, ms(60)), true, false);
     assert_eq!(sim.redirected, [(key, address)]);
@@ -206,7 +206,7 @@
     let other = "other".parse().unwrap();
     let address = ([127, 0, 0, 1], 9_999).into();
     let spare = SpareCpu { total_millicores: 64_000, fast_millicores: 64_000 };
-    sim.dispatcher.update_remote_zone(other, address, spare, sim.now);
+    sim.dispatcher.update_remote_shard(other, address, spare, sim.now);
     let first = sim.submit_with(submission(1, LONG, 2, ms(900)), true, false);
     let second = sim.submit_with(submission(2, LONG, 2, ms(900)), true, false);
     assert_eq!(sim.redirected, [(second, address)]);
@@ -219,7 +219,7 @@
     sim.process_actions();
     sim.run(ms(100));
     let spare = SpareCpu { total_millicores: 64_000, fast_millicores: 36_000 };
-    sim.dispatcher.update_remote_zone("other".parse().unwrap(), address, spare, sim.now);
+    sim.dispatcher.update_remote_shard("other".parse().unwrap(), address, spare, sim.now);
     sim.submit_with(submission(3, LONG, 2, ms(900)), true, false);
     assert_eq!(sim.redirected.len(), 1);
     // No zone has enough spare fast CPU for a large job: the one with clearly more takes it,
@@ -240,7 +240,7 @@
     let other = |name: &str| name.parse().unwrap();
     let address = ([127, 0, 0, 1], 9_999).into();
     let spare = SpareCpu { total_millicores: 40_000, fast_millicores: 0 };
-    sim.dispatcher.update_remote_zone(other("small"), address, spare, sim.now);
+    sim.dispatcher.update_remote_shard(other("small"), address, spare, sim.now);
     let kept = sim.submit_with(submission(2, URGENT, 2, ms(60)), true, false);
     assert_eq!(sim.redirected, []);
     sim.run(ms(200));
@@ -249,7 +249,7 @@
     // Behind one job it would end here after 120 ms, within its objective of 156 ms.
     sim.submit(submission(3, URGENT, 2, ms(60)));
     let spare = SpareCpu { total_millicores: 60_000, fast_millicores: 0 };
-    sim.dispatcher.update_remote_zone(other("roomy"), address, spare, sim.now);
+    sim.dispatcher.update_remote_shard(other("roomy"), address, spare, sim.now);
     let redirected = sim.submit_with(submission(4, URGENT, 2, ms(60)), true, false);
     assert_eq!(sim.redirected, [(redirected, address)]);
 }
@@ -315,7 +315,7 @@
     let mut sim = Simulation::new(2).take_over();
     let address = ([127, 0, 0, 1], 9_999).into();
     let spare = SpareCpu { total_millicores: 1_000, fast_millicores: 0 };
-    sim.dispatcher.update_remote_zone("other".parse().unwrap(), address, spare, sim.now);
+    sim.dispatcher.update_remote_shard("other".parse().unwrap(), address, spare, sim.now);
     let mut job = submission(1, URGENT, 1, ms(60));
     job.steps[0].required = Some(Label::from("elsewhere"));
     let key = sim.submit_with(job.clone(), true, false);
--- a/tests/dispatch/look_ahead.rs
+++ b/tests/dispatch/look_ahead.rs
@@ -206,7 +206,7 @@
     if has_remote {
         let spare = SpareCpu { total_millicores: 640_000, fast_millicores: 640_000 };
         let address = ([127, 0, 0, 1], 9_999).into();
-        sim.dispatcher.update_remote_zone("other".parse().unwrap(), address, spare, sim.now);
+        sim.dispatcher.update_remote_shard("other".parse().unwrap(), address, spare, sim.now);
     }
     let mut job = sized(1, LONG, 4, 16, ms(400));
     job.steps[0].most_per_target = Some(1);
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -1,8 +1,11 @@
 //! Rules of the election of a zone's dispatcher, and which jobs wait for it.
 
-use cranberrytray::coordination::election::{
-    Answer, Decision, Fenced, FencedDecision, Rank, Rival, Round, is_standby, peers_of_round,
-    should_await_dispatcher,
+use cranberrytray::{
+    coordination::election::{
+        Answer, Decision, Fenced, FencedDecision, Rank, Rival, Round, is_standby, peers_of_round,
+        should_await_dispatcher,
+    },
+    state::shard::ShardCount,
 };
 use std::time::Duration;
 
@@ -105,9 +108,21 @@
 fn standby_three_strongest_vms_of_a_zone() {
     let zone: Vec<Rank> = (0..60).map(|n| rank(500 - n / 4, &format!("vm-{n:02}"))).collect();
     let others = |me: &Rank| zone.iter().filter(|r| *r != me).cloned().collect::<Vec<_>>();
-    let standby: Vec<&Rank> = zone.iter().filter(|me| is_standby(me, others(me))).collect();
+    let is_standby_of_one = |me: &&Rank| is_standby(me, others(me), ShardCount::ONE);
+    let standby: Vec<&Rank> = zone.iter().filter(is_standby_of_one).collect();
     assert_eq!(standby, zone.iter().take(3).collect::<Vec<_>>());
-    assert!(is_standby(&zone[0], Vec::new()));
+    assert!(is_standby(&zone[0], Vec::new(), ShardCount::ONE));
+}
+
+/// Many shards: each has its dispatcher and one VM that can follow, so that the reads of the list
+/// grow with the number of shards only.
+#[test]
+fn standby_two_strongest_vms_of_a_shard() {
+    let shards = ShardCount::for_zone(1_000, 100);
+    let shard: Vec<Rank> = (0..12).map(|n| rank(500 - n, &format!("vm-{n:02}"))).collect();
+    let others = |me: &Rank| shard.iter().filter(|r| *r != me).cloned().collect::<Vec<_>>();
+    let standby = shard.iter().filter(|me| is_standby(me, others(me), shards)).count();
+    assert_eq!(standby, 2);
 }
 
 /// Guards against a dozen dispatchers of one zone: weak VMs that return first and have not read the
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -14,6 +14,7 @@
         id::{ConfigVersion, Incarnation, ZoneName},
         job_submission::{JobSubmission, Outcome},
         mechanism::MechanismSet,
+        shard::ShardCount,
         target::{TargetId, TargetReport, TargetTime},
     },
     transport::fleet::{DispatchOptions, PeerHandler, PeerLink, serve},
@@ -48,6 +49,7 @@
         address,
         weight: 250,
         incarnation: Incarnation(1),
+        knows_shards: true,
     }
 }
 
@@ -118,6 +120,8 @@
         Heartbeat {
             from: self.0.clone(),
             config_version: ConfigVersion(0),
+            shard: 0,
+            shard_count: Some(ShardCount::ONE),
             dispatcher: None,
             epoch: 0,
             spare_cpu: SpareCpu::default(),
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -8,6 +8,7 @@
         evacuation::Evacuations,
         id::{ConfigVersion, Incarnation, ZoneName},
         job_submission::{CallerJobId, JobSubmission, Outcome, TaskId},
+        shard::ShardCount,
         target::{TargetId, TargetIncarnation},
     },
     transport::fleet::{DispatchOptions, PeerHandler, PeerLink, serve},
@@ -55,10 +56,13 @@
         address: ([127, 0, 0, 1], 7_200).into(),
         weight: 250,
         incarnation: Incarnation(1),
+        knows_shards: true,
     };
     Heartbeat {
         from,
         config_version: ConfigVersion(3),
+        shard: 5,
+        shard_count: Some(ShardCount::for_zone(1_000, 100)),
         dispatcher: None,
         epoch: 5,
         spare_cpu: SpareCpu { total_millicores: 64_000, fast_millicores: 28_000 },
