Count a slow run as no success of its target when it ends

Test: slow_runs_that_end_with_success_are_no_successes_of_their_target failed before (0 ejections in place of 1). It switches off learned slowness, which hid the fault from the test tried before.

--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -271,7 +271,7 @@
             let done = job.is_done();
             self.update_queue(key);
             let duration = now - run.start_sent_at;
-            if run.slow || !self.check_target_speed(key, task, target_id, run, duration, now) {
+            if !run.slow && !self.check_target_speed(key, task, target_id, run, duration, now) {
                 self.record_success(target_id);
             }
             self.learn_run_time(&queue, declared, target_id, run, now);
--- a/tests/dispatch/faulty_targets.rs
+++ b/tests/dispatch/faulty_targets.rs
@@ -4,6 +4,7 @@
 use cranberrytray::state::{
     job_submission::{JobSubmission, Outcome},
     mechanism::{Mechanism, MechanismSet},
+    resources::MilliCores,
 };
 use std::sync::Arc;
 
@@ -53,3 +54,34 @@
     assert_eq!(sim.outcome(key), Some(Outcome::Completed));
     assert_eq!(sim.start_count(), 1);
 }
+
+/// A target has become slow for long tasks, which arrive one after the other: its faults add up,
+/// although the slow runs end with success after their progress has shown them to be slow.
+#[test]
+fn slow_runs_that_end_with_success_are_no_successes_of_their_target() {
+    let mut sim = Simulation::with_speeds(&[1.0, 1.0]);
+    let mut patient = config(2);
+    patient.queues.iter_mut().for_each(|queue| queue.timeout = ms(60_000));
+    sim.dispatcher.set_config(Arc::new(patient));
+    let large_job = |id| {
+        let mut job = submission(id, LONG, 1, ms(500));
+        job.steps[0].needs.cpu = MilliCores(20_000);
+        JobSubmission { time_to_deadline: ms(10_000), ..job }
+    };
+    // One task on each target at a time, until their run times are known.
+    for id in 0..40 {
+        sim.submit(large_job(10_000 + 2 * id));
+        sim.submit(large_job(10_001 + 2 * id));
+        sim.run(ms(600));
+    }
+    let disabled = [Mechanism::TargetSlowness].into_iter().collect();
+    sim.dispatcher.disable(MechanismSet::optional().union(disabled));
+    assert_eq!(sim.dispatcher.counts().ejections, 0);
+    sim.target(0).speed = 0.3;
+    for id in 0..2 {
+        sim.submit(large_job(20_000 + 2 * id));
+        sim.submit(large_job(20_001 + 2 * id));
+        sim.run(ms(1_900));
+    }
+    assert_eq!(sim.dispatcher.counts().ejections, 1);
+}
