Read the list of targets once for all shards of a zone, and make shards larger

Change: the dispatcher of the first shard reads the list; other dispatchers and standbys of a divided zone ask it, unless its list is older than 1.5 s or they were just elected. Shards have at most 250 targets, so that such a zone has 4.

Ruled out: fewer connections by sending a VM's jobs to one shard only. Submissions of one job at two VMs would no longer meet.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -135,4 +135,7 @@
   handOver @3 (epoch :UInt64, kept :List(Text)) -> (taken :Bool);
   # Sent by a dispatcher to its successor, which takes over all targets except those in kept. taken
   # is false if the receiver declines.
+  targets @4 () -> (targets :Data, ageMs :UInt32);
+  # Returns the targets in the store's list that are in the replying VM's zone, in JSON, and the time
+  # since it read that list.
 }
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -62,7 +62,7 @@
     /// When the predecessor last sent the list of targets that it keeps.
     pub last_handover_message: Instant,
     /// When this VM became the dispatcher.
-    since: Moment,
+    pub since: Moment,
     /// When the fencing token was last raised, or when this VM became the dispatcher.
     raised_at: Moment,
     /// Channels on which the results of open submissions are sent to the callers of `run_locally`.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -24,7 +24,7 @@
         },
         election::is_standby,
     },
-    protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot, ZoneDispatcher},
+    protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot, TargetList, ZoneDispatcher},
     state::{
         crash_history::CrashHistory,
         evacuation::Evacuations,
@@ -222,8 +222,11 @@
 
     /// Handles the platform's list of targets; `None` if it has not changed since the last read.
     pub fn on_targets_read(self: &Rc<Self>, list: Option<Vec<TargetInfo>>) {
-        let now = self.clock.now();
-        let changed = self.known_targets.borrow_mut().on_list_read(list, now);
+        self.on_targets_read_at(list, self.clock.now());
+    }
+
+    fn on_targets_read_at(self: &Rc<Self>, list: Option<Vec<TargetInfo>>, read_at: Moment) {
+        let changed = self.known_targets.borrow_mut().on_list_read(list, read_at);
         if changed {
             self.count_shards();
         }
@@ -463,4 +466,8 @@
         let evacuations = self.evacuations();
         Snapshot { version, config, peers, targets: targets.unwrap_or_default(), evacuations }
     }
+
+    fn target_list(&self) -> Option<TargetList> {
+        self.read_target_list()
+    }
 }
--- a/src/fleet/shards.rs
+++ b/src/fleet/shards.rs
@@ -3,11 +3,12 @@
 
 use super::{Node, TargetClient, election};
 use crate::{
-    protocol::fleet::{Heartbeat, Peer},
+    protocol::fleet::{Heartbeat, Peer, TargetList},
     state::{
         mechanism::Mechanism,
         shard::{Shard, ShardCount},
         target::TargetInfo,
+        time::Moment,
     },
     transport::fleet::PeerLink,
 };
@@ -23,6 +24,10 @@
 /// peers report it with every heartbeat.
 const UNDIVIDED_SPAN: Duration = Duration::from_secs(3);
 
+/// Oldest list of targets that a VM takes from another. A draining target is known in all after this
+/// and two poll intervals, well within the usual bound of 3 s.
+const MAX_SHARED_LIST_AGE: Duration = Duration::from_millis(1_500);
+
 /// The search for the dispatcher of one shard, and the connection to it.
 pub(super) struct ShardLink {
     /// Connection to the dispatcher, while that is another VM.
@@ -75,6 +80,8 @@
     largest: Cell<ShardCount>,
     /// Shard for which this VM may be elected.
     candidate_for: Cell<u16>,
+    /// Whether all known VMs of the zone know shards.
+    all_know_shards: Cell<bool>,
     /// When a peer last reported a VM that doesn't know shards.
     undivided_at: Cell<Option<Instant>>,
     /// Connections to the dispatchers, by the index of their shard.
@@ -89,6 +96,7 @@
             count: Cell::new(ShardCount::ONE),
             largest: Cell::new(ShardCount::ONE),
             candidate_for: Cell::default(),
+            all_know_shards: Cell::new(true),
             undivided_at: Cell::default(),
             links: RefCell::default(),
             elections: Cell::default(),
@@ -138,16 +146,11 @@
     /// Number of shards as heartbeats report it; `None` if a VM of the zone doesn't know shards. A
     /// dispatcher passes on what it has heard of such a VM, since all VMs of the zone follow it.
     pub(super) fn reported_shard_count(&self) -> Option<ShardCount> {
-        let is_undivided =
-            !self.all_know_shards() || self.is_dispatcher() && self.heard_of_undivided();
+        let is_undivided = !self.division.all_know_shards.get()
+            || self.is_dispatcher() && self.heard_of_undivided();
         (!is_undivided).then(|| self.shard_count())
     }
 
-    fn all_know_shards(&self) -> bool {
-        let peers = self.peers.borrow();
-        peers.values().all(|peer| peer.knows_shards || peer.zone != self.me.zone)
-    }
-
     fn heard_of_undivided(&self) -> bool {
         self.division.undivided_at.get().is_some_and(|at| at.elapsed() < UNDIVIDED_SPAN)
     }
@@ -187,11 +190,14 @@
     /// Updates the number of shards in force and the one for which this VM may be elected. A zone is
     /// divided only if all its VMs know shards.
     pub(super) fn update_division(self: &Rc<Self>) {
-        let is_divided =
-            self.enables(Mechanism::Shards) && self.all_know_shards() && !self.heard_of_undivided();
+        let peers = self.zone_peers();
+        self.division.all_know_shards.set(peers.iter().all(|peer| peer.knows_shards));
+        let is_divided = self.enables(Mechanism::Shards)
+            && self.division.all_know_shards.get()
+            && !self.heard_of_undivided();
         let count = if is_divided { self.division.largest.get() } else { ShardCount::ONE };
         let own = election::rank(&self.me);
-        let position = self.zone_peers().iter().filter(|p| election::rank(p) < own).count();
+        let position = peers.iter().filter(|p| election::rank(p) < own).count();
         self.division.candidate_for.set(count.shard_of_position(position));
         let old = self.division.count.replace(count);
         if old != count {
@@ -222,6 +228,48 @@
         peers.into_iter().enumerate().filter(|(n, _)| is_candidate(*n)).map(|(_, p)| p).collect()
     }
 
+    /// The list of this zone's targets as this VM last read it.
+    pub(super) fn read_target_list(&self) -> Option<TargetList> {
+        let known_targets = self.known_targets.borrow();
+        let age = self.clock.now() - known_targets.last_read_at()?;
+        let of_zone = known_targets.listed().filter(|t| t.zone == self.me.zone);
+        let targets = serde_json::to_vec(&of_zone.collect::<Vec<_>>())
+            .inspect_err(|e| log::error!("targets: list can't be encoded: {e}"));
+        Some(TargetList { targets: targets.ok()?, age })
+    }
+
+    /// In a divided zone, fetches the list of targets from the dispatcher of the first shard, which
+    /// reads it from the store for all: the list has the targets of all zones, and reads by each
+    /// dispatcher would grow with the product of shards and targets. Returns false if this VM should
+    /// read it from the store itself; a new dispatcher does, since the fetched one may be older.
+    pub async fn fetch_targets(self: &Rc<Self>) -> bool {
+        let since = self.dispatcher.borrow().as_ref().map(|d| d.since);
+        let is_current = since.is_none_or(|since| self.known_targets.borrow().is_read_since(since));
+        if self.shard_count() == ShardCount::ONE || self.shard_index() == 0 || !is_current {
+            return false;
+        }
+        let Some(link) = self.shard_link(0).get() else { return false };
+        let Ok(list) = link.target_list().await else { return false };
+        if list.age > MAX_SHARED_LIST_AGE {
+            return false;
+        }
+        match serde_json::from_slice::<Vec<TargetInfo>>(&list.targets) {
+            Ok(targets) => {
+                let known = self.known_targets.borrow();
+                let changed = !known.listed().eq(targets.iter());
+                drop(known);
+                let now = self.clock.now().since_start();
+                let read_at = Moment::new(now.saturating_sub(list.age));
+                self.on_targets_read_at(changed.then_some(targets), read_at);
+                true
+            }
+            Err(e) => {
+                log::warn!("targets: list from {} can't be decoded: {e}", link.address);
+                false
+            }
+        }
+    }
+
     /// The listed targets of this VM's shard.
     pub(super) fn shard_targets(&self) -> Vec<TargetInfo> {
         let (index, count) = (self.shard_index(), self.shard_count());
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -119,6 +119,16 @@
     pub evacuations: Evacuations,
 }
 
+/// The targets of a zone in the store's list, as the dispatcher of its first shard reads it for the
+/// other VMs of the zone.
+#[derive(Clone, Debug)]
+pub struct TargetList {
+    /// The targets in JSON.
+    pub targets: Vec<u8>,
+    /// Time since the sender read the list.
+    pub age: Duration,
+}
+
 /// Reads the reply to a request to run a job.
 ///
 /// # Errors
--- a/src/protocol/fleet_capnp.rs
+++ b/src/protocol/fleet_capnp.rs
@@ -3318,6 +3318,8 @@
     pub type SnapshotResults<> = ::capnp::capability::Results<crate::fleet_capnp::peer::snapshot_results::Owned>;
     pub type HandOverParams<> = ::capnp::capability::Params<crate::fleet_capnp::peer::hand_over_params::Owned>;
     pub type HandOverResults<> = ::capnp::capability::Results<crate::fleet_capnp::peer::hand_over_results::Owned>;
+    pub type TargetsParams<> = ::capnp::capability::Params<crate::fleet_capnp::peer::targets_params::Owned>;
+    pub type TargetsResults<> = ::capnp::capability::Results<crate::fleet_capnp::peer::targets_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -3379,12 +3381,16 @@
         pub fn hand_over_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::peer::hand_over_params::Owned,crate::fleet_capnp::peer::hand_over_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
+        pub fn targets_request(&self) -> ::capnp::capability::Request<crate::fleet_capnp::peer::targets_params::Owned,crate::fleet_capnp::peer::targets_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn beat(self: ::capnp::capability::Rc<Self>, _: BeatParams<>, _: BeatResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::beat not implemented".to_string()))) }
         fn run(self: ::capnp::capability::Rc<Self>, _: RunParams<>, _: RunResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::run not implemented".to_string()))) }
         fn snapshot(self: ::capnp::capability::Rc<Self>, _: SnapshotParams<>, _: SnapshotResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::snapshot not implemented".to_string()))) }
         fn hand_over(self: ::capnp::capability::Rc<Self>, _: HandOverParams<>, _: HandOverResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::hand_over not implemented".to_string()))) }
+        fn targets(self: ::capnp::capability::Rc<Self>, _: TargetsParams<>, _: TargetsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::targets not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -3418,6 +3424,7 @@
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::run(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::snapshot(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::hand_over(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::targets(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -5487,4 +5494,404 @@
             pub(crate) const TYPE_ID: u64 = 0xd0ff_5e8b_839c_78e9;
         }
     }
+
+    pub mod targets_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(118, 214, 115, 59, 96, 175, 16, 244),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+                ::capnp::word(46, 116, 97, 114, 103, 101, 116, 115),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xf410_af60_3b73_d676;
+        }
+    }
+
+    pub mod targets_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_targets(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_targets(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_age_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_targets(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_targets(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_targets(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_targets(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_age_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_age_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(216, 111, 84, 20, 45, 135, 111, 177),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+                ::capnp::word(46, 116, 97, 114, 103, 101, 116, 115),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 97, 114, 103, 101, 116, 115, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xb16f_872d_1454_6fd8;
+        }
+    }
 }
--- a/src/state/known_targets.rs
+++ b/src/state/known_targets.rs
@@ -84,6 +84,17 @@
         self.entries.values().map(|entry| &entry.info)
     }
 
+    /// Iterates over the targets that the list had when it was last read.
+    pub fn listed(&self) -> impl Iterator<Item = &TargetInfo> {
+        self.entries.values().filter(|e| e.missing_since.is_none()).map(|entry| &entry.info)
+    }
+
+    /// Time of the last successful read of the list; `None` if the one after it failed, or if there
+    /// was none.
+    pub fn last_read_at(&self) -> Option<Moment> {
+        self.readable_since.map(|_| self.last_read_at)
+    }
+
     /// Whether the last successful read of the list was at `moment` or later.
     pub fn is_read_since(&self, moment: Moment) -> bool {
         self.last_read_at >= moment
--- a/src/state/shard.rs
+++ b/src/state/shard.rs
@@ -17,8 +17,9 @@
 };
 
 /// Largest number of targets that one dispatcher should own: it sends every start and renews every
-/// lease on them.
-const MAX_TARGETS_PER_SHARD: usize = 160;
+/// lease on them. A smaller number costs heartbeats, since every VM of a zone is connected to each
+/// dispatcher.
+const MAX_TARGETS_PER_SHARD: usize = 250;
 /// Smallest number of VMs of a zone for each of its shards: one dispatches, the others can take over.
 const MIN_VMS_PER_SHARD: usize = 4;
 /// Largest number of shards of a zone. Every VM of a zone keeps a connection to each dispatcher.
@@ -30,7 +31,7 @@
 /// use cranberrytray::state::shard::ShardCount;
 ///
 /// assert_eq!(ShardCount::for_zone(120, 11), ShardCount::ONE);
-/// assert_eq!(ShardCount::for_zone(1_000, 100).get(), 8);
+/// assert_eq!(ShardCount::for_zone(1_000, 100).get(), 4);
 /// // Two VMs can't dispatch for more than one shard and replace each other.
 /// assert_eq!(ShardCount::for_zone(1_000, 2), ShardCount::ONE);
 /// ```
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -8,9 +8,9 @@
 use crate::{
     fleet_capnp::peer,
     protocol::fleet::{
-        DispatchReply, Heartbeat, Snapshot, read_dispatch_reply, read_evacuations, read_heartbeat,
-        read_job_submission, read_peer, write_dispatch_reply, write_evacuated_zones,
-        write_heartbeat, write_job_submission, write_peer,
+        DispatchReply, Heartbeat, Snapshot, TargetList, read_dispatch_reply, read_evacuations,
+        read_heartbeat, read_job_submission, read_peer, write_dispatch_reply,
+        write_evacuated_zones, write_heartbeat, write_job_submission, write_peer,
     },
     state::{
         id::{ConfigVersion, ZoneName},
@@ -72,6 +72,8 @@
     fn take_over(self: &Rc<Self>, epoch: u64, kept: Vec<TargetId>) -> bool;
     /// Returns the state known to this VM, with the targets of `zone` if one is given.
     fn snapshot(&self, zone: Option<ZoneName>) -> Snapshot;
+    /// Returns the list of this zone's targets as this VM last read it; `None` if it could not.
+    fn target_list(&self) -> Option<TargetList>;
 }
 
 struct PeerServer<H> {
@@ -171,6 +173,19 @@
         }
         Ok(())
     }
+
+    async fn targets(
+        self: Rc<Self>,
+        _: peer::TargetsParams,
+        mut results: peer::TargetsResults,
+    ) -> Result<(), capnp::Error> {
+        let Some(list) = self.handler.target_list() else {
+            return Err(capnp::Error::failed("the list of targets can't be read".into()));
+        };
+        results.get().set_targets(&list.targets);
+        results.get().set_age_ms(list.age.as_millis() as u32);
+        Ok(())
+    }
 }
 
 /// Serves the peer protocol on `listener`; never returns.
@@ -338,6 +353,20 @@
             )?,
         })
     }
+
+    /// Requests the list of targets of the peer's zone.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`RpcError`] if the peer does not answer, does not know this request or can't read
+    /// the list itself.
+    pub async fn target_list(&self) -> Result<TargetList, RpcError> {
+        let call = self.client.targets_request().send().promise;
+        let res = timeout(SNAPSHOT_TIMEOUT, call).await.map_err(|_| RpcError::Timeout)??;
+        let res = res.get()?;
+        let age = Duration::from_millis(u64::from(res.get_age_ms()));
+        Ok(TargetList { targets: res.get_targets()?.to_vec(), age })
+    }
 }
 
 /// Sends heartbeats until the connection fails or the last [`Rc`] of it is dropped.
