--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,76 @@
+//! Messages between VMs of the production version and of this one, which run side by side while a
+//! zone is upgraded. `tests/data` has messages as commit f116505 encoded them.
+
+use cranberrytray::{
+    protocol::{
+        fleet::{Heartbeat, Peer, read_heartbeat, read_job_submission, write_heartbeat},
+        fleet_capnp as wire,
+    },
+    state::{
+        id::ConfigVersion,
+        job_submission::CallerJobId,
+        shard::{Shard, ShardCount},
+    },
+};
+
+const HEARTBEAT: &[u8] = include_bytes!("data/heartbeat-f116505.bin");
+const RUN: &[u8] = include_bytes!("data/run-f116505.bin");
+/// Row of a VM in the store.
+const VM_ROW: &str = r#"{"vm":"vm-1","zone":"zone-a","address":"10.1.0.13:7720","weight":500,"incarnation":1700000000000}"#;
+
+fn decode_heartbeat(mut bytes: &[u8]) -> Heartbeat {
+    let message = capnp::serialize::read_message(&mut bytes, Default::default()).unwrap();
+    read_heartbeat(message.get_root::<wire::beat::Reader<'_>>().unwrap()).unwrap()
+}
+
+/// A VM of the production version is the dispatcher of its whole zone, and keeps the zone undivided.
+#[test]
+fn read_heartbeat_of_production_names_an_undivided_zone() {
+    let heartbeat = decode_heartbeat(HEARTBEAT);
+    assert!(heartbeat.is_from_dispatcher());
+    assert_eq!((heartbeat.epoch, heartbeat.config_version), (17_000_000_000, ConfigVersion(3)));
+    assert_eq!(heartbeat.spare_cpu.total_millicores, 64_000);
+    assert_eq!(heartbeat.evacuations.revision(), 41);
+    assert_eq!((heartbeat.shard_count, heartbeat.from.knows_shards), (None, false));
+    assert!(heartbeat.is_of_shard(0, ShardCount::ONE));
+    assert!(!heartbeat.is_of_shard(0, ShardCount::for_zone(1_000, 100)));
+    assert_eq!(heartbeat.shard(), "zone-a/0".parse::<Shard>().unwrap());
+}
+
+/// What this version adds to a heartbeat comes back, and an undivided zone is written as the
+/// production version writes it.
+#[test]
+fn write_heartbeat_round_trip() {
+    let production = decode_heartbeat(HEARTBEAT);
+    let divided = Heartbeat {
+        shard: 2,
+        shard_count: Some(ShardCount::for_zone(1_000, 100)),
+        from: Peer { knows_shards: true, ..production.from.clone() },
+        ..production.clone()
+    };
+    for heartbeat in [production, divided] {
+        let mut message = capnp::message::Builder::new_default();
+        write_heartbeat(&heartbeat, message.init_root::<wire::beat::Builder<'_>>());
+        let bytes = capnp::serialize::write_message_to_words(&message);
+        assert_eq!(decode_heartbeat(&bytes), heartbeat);
+    }
+}
+
+/// A job that a VM of the production version submits was sent to an undivided zone.
+#[test]
+fn read_run_of_production() {
+    let message = capnp::serialize::read_message(&mut &*RUN, Default::default()).unwrap();
+    let params = message.get_root::<wire::peer::run_params::Reader<'_>>().unwrap();
+    let job = read_job_submission(params.get_work().unwrap()).unwrap();
+    assert_eq!((job.id, job.steps[0].count), (CallerJobId(77), 4));
+    assert!(params.get_may_pass() && !params.get_resumed());
+    assert_eq!(ShardCount::from_wire(params.get_shard_count()), ShardCount::ONE);
+}
+
+#[test]
+fn vm_row_of_production_does_not_know_shards() {
+    let peer: Peer = serde_json::from_str(VM_ROW).unwrap();
+    assert!(!peer.knows_shards);
+    let row = serde_json::to_string(&Peer { knows_shards: true, ..peer }).unwrap();
+    assert!(serde_json::from_str::<Peer>(&row).unwrap().knows_shards);
+}
