Shed new jobs while a dispatcher is far behind its work

Cause: a dispatcher whose processor is used up admits jobs that wait in its own run queue until their callers are gone; its lag was not in the forecast, and each job considered made the others later.

Change: the timer of the core, called late, measures the lag. It is added to expected ends; from 150 ms on, new jobs are redirected to a shard with ample spare CPU or refused at once, without a forecast, with retry delays spread over 1.6 s by the id of the job. Resumed jobs are still decided on with a forecast.

Tests: tests/dispatch/overload.rs, with a model of processor time: at three times the jobs that can be considered, more than half of the possible number is served in time, and less than half with lag-shedding switched off; at 75% nothing is shed.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -89,6 +89,9 @@
             }
             let keys = vec![key];
             self.deferred.push(DeferredSubmission { keys, submission, arrived_at: now, resumed });
+        } else if !resumed && self.sheds_for_lag() {
+            self.shed_for_lag(key, &submission, may_redirect, now);
+            return key;
         } else {
             let origin = if may_redirect { Origin::Caller } else { Origin::OtherShard };
             self.admit_or_redirect(vec![key], submission, now, origin, now);
@@ -189,7 +192,7 @@
         let ahead = self.queued_jobs.iter().take_while(|other| **other < rank).count();
         let end = self.schedule_waiting(&mut forecast, &job, now);
         let wide_end = self.wide_job_end(&job, &self.large_task_pools(), None, now);
-        let end = end.map(|end| wide_end.map_or(end, |wide_end| end.max(wide_end)));
+        let end = end.map(|end| wide_end.map_or(end, |wide_end| end.max(wide_end)) + self.lag());
         let cpu = job.submission.total_millicores();
         let late = end.is_none_or(|end| end > job.objective);
         let shard = match origin {
@@ -299,11 +302,7 @@
         let min_fast = cpu.min(spare.fast_millicores.saturating_add(cpu / FAST_MARGIN_DIVISOR));
         let shard_with_fast =
             || self.best_remote_shard(min_fast, now, |spare| spare.fast_millicores);
-        let shard_with_ample = || {
-            self.best_remote_shard(cpu.saturating_mul(WAITING_JOB_SPARE_FACTOR), now, |spare| {
-                spare.total_millicores
-            })
-        };
+        let shard_with_ample = || self.ample_shard(cpu, now);
         let shard_with_some = || {
             self.best_remote_shard(cpu / LATE_JOB_SPARE_DIVISOR, now, |spare| {
                 spare.total_millicores
@@ -315,6 +314,12 @@
         shard.or_else(|| if late { shard_with_some() } else { None })
     }
 
+    /// Returns the shard with the most spare CPU, if it has ample for a job that takes `cpu`.
+    pub(super) fn ample_shard(&self, cpu: u64, now: Moment) -> Option<Shard> {
+        let min_spare = cpu.saturating_mul(WAITING_JOB_SPARE_FACTOR);
+        self.best_remote_shard(min_spare, now, |spare| spare.total_millicores)
+    }
+
     /// Returns the shard with the most spare CPU, as selected by `spare_of`, if it has at least
     /// `min_spare`; one of this zone, if there is such a one.
     fn best_remote_shard<F>(&self, min_spare: u64, now: Moment, spare_of: F) -> Option<Shard>
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod fast_targets;
 pub mod forecast;
 pub mod job;
+mod lag;
 pub mod log_event;
 pub mod ownership;
 pub mod placement;
@@ -32,6 +33,7 @@
     crash_history::CrashHistory,
     fleet_config::{FleetConfig, Label, PoolName, QueueName},
     job_submission::{CallerJobId, JobSubmission, Outcome, RunNumber, TaskId},
+    lag::LagMeter,
     mechanism::{Mechanism, MechanismSet},
     rtt::RttEstimator,
     run_time::RunTimeEstimator,
@@ -51,6 +53,10 @@
 use task_sizes::TaskSizes;
 use timing::Timing;
 
+/// Interval at which [`Dispatcher::tick`] should be called; a small part of the shortest timeout that
+/// it checks.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Weight of one run in the slowness estimate of a kind of target; dozens of runs end per second.
 const KIND_SLOWNESS_WEIGHT: f64 = 0.02;
 /// Maximum number of open jobs; more than the largest sites can run within one deadline.
@@ -172,6 +178,8 @@
     pub admitted: u64,
     /// Jobs refused, at once or while waiting.
     pub refused: u64,
+    /// Jobs redirected or refused because this dispatcher was far behind its work.
+    pub shed_for_lag: u64,
     /// Jobs redirected to another zone.
     pub redirected: u64,
     /// Jobs redirected to another zone because this one is evacuated.
@@ -237,6 +245,8 @@
     counts: Counts,
     last_submission_key: u64,
     last_call_at: Moment,
+    /// How late [`Dispatcher::tick`] is called.
+    lag_meter: LagMeter,
     /// False once another dispatcher owns the targets; no task is started then.
     is_active: bool,
     /// Whether a successor admits the new jobs and this dispatcher only finishes its own.
@@ -281,6 +291,7 @@
             counts: Counts { takeovers: 1, ..Counts::default() },
             last_submission_key: 0,
             last_call_at: now,
+            lag_meter: LagMeter::new(TICK_INTERVAL),
             is_active: true,
             handing_over: false,
             predecessor_targets: IndexSet::new(),
@@ -387,10 +398,11 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Handles timeouts: deadlines, leases and unconfirmed stops. To be called every few tens of
-    /// milliseconds.
+    /// Handles timeouts: deadlines, leases and unconfirmed stops. To be called every
+    /// [`TICK_INTERVAL`]; later calls show that this process is behind its work.
     pub fn tick(&mut self, now: Moment) {
         self.check_suspension(now);
+        self.lag_meter.on_timer(now);
         self.update_fast_limit();
         self.expire_jobs(now);
         self.expire_losses(now);
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -5,8 +5,8 @@
 use crate::{
     coordination::{
         dispatch::{
-            Action, Dispatcher, RunRequest, SubmissionKey, ownership::TargetListStatus,
-            replies::LeaseRenewalError,
+            Action, Dispatcher, RunRequest, SubmissionKey, TICK_INTERVAL,
+            ownership::TargetListStatus, replies::LeaseRenewalError,
         },
         election::{Fenced, FencedDecision, Rival},
     },
@@ -31,8 +31,6 @@
 };
 use tokio::{sync::oneshot, task::spawn_local, time::sleep};
 
-/// Interval of the core's periodic checks; a small part of the shortest timeout that they check.
-const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Pause after a lease renewal that the target refused, or for which it could not be reached; the
 /// pause after an unanswered one is a fifth of it.
 const RENEWAL_RETRY_DELAY: Duration = Duration::from_millis(100);
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -165,6 +165,11 @@
     let values = [
         ("dispatch_admitted", "Jobs let in", counts.admitted),
         ("dispatch_refused", "Jobs refused", counts.refused),
+        (
+            "dispatch_shed_for_lag",
+            "Jobs passed or refused because the dispatcher was behind its work",
+            counts.shed_for_lag,
+        ),
         ("dispatch_passed", "Jobs passed to another zone", counts.redirected),
         (
             "evacuation_redirects",
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -74,6 +74,9 @@
     RedirectFallback,
     /// Jobs that are not expected to end in time are refused on arrival.
     AdmissionForecast,
+    /// New jobs are redirected or refused unseen while the dispatcher is far behind its work, and its
+    /// lag counts in forecasts.
+    LagShedding,
     /// Waiting jobs that are no longer expected to end in time are refused or abandoned.
     Shedding,
     /// A job with a hard deadline that has begun comes before all others.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,6 +7,7 @@
 pub mod job;
 pub mod job_submission;
 pub mod known_targets;
+pub mod lag;
 pub mod ledger;
 pub mod loan;
 pub mod mechanism;
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -11,6 +11,7 @@
 mod look_ahead;
 mod malformed;
 mod near_equal_targets;
+mod overload;
 mod ownership;
 mod runs;
 mod simulation;
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -116,6 +116,8 @@
     bounds: RunBounds,
     /// Tasks that crash each target that starts them.
     pub crashing_tasks: IndexSet<TaskId>,
+    /// Whether the test calls [`Simulation::tick`] itself.
+    pub manual_ticks: bool,
 }
 
 /// Time from the start of a crashing task to the crash.
@@ -145,6 +147,7 @@
             evacuated_zones: IndexSet::new(),
             bounds,
             crashing_tasks: IndexSet::new(),
+            manual_ticks: false,
         };
         for info in &sim.list {
             sim.targets.insert(info.id.clone(), FakeTarget::default());
@@ -243,13 +246,18 @@
         while self.now < end {
             self.now = self.now + ms(1);
             self.advance_targets();
-            if self.now.since_start().as_millis().is_multiple_of(25) {
-                self.dispatcher.tick(self.now);
-                self.process_actions();
+            if !self.manual_ticks && self.now.since_start().as_millis().is_multiple_of(25) {
+                self.tick();
             }
         }
     }
 
+    /// Calls the dispatcher's timer.
+    pub fn tick(&mut self) {
+        self.dispatcher.tick(self.now);
+        self.process_actions();
+    }
+
     fn advance_targets(&mut self) {
         let ids: Vec<TargetId> = self.targets.keys().cloned().collect();
         for id in ids {
