--- a/src/state/shard.rs
+++ b/src/state/shard.rs
@@ -16,9 +16,11 @@
     str::FromStr,
 };
 
-/// Largest number of targets that one dispatcher should own: it sends every start and renews every
-/// lease on them. A smaller number costs heartbeats, since every VM of a zone is connected to each
-/// dispatcher.
+/// Largest number of targets for which a zone has one dispatcher. It sends every start and renews
+/// every lease, and while bursts overlap, that takes more than half a core.
+const MAX_TARGETS_UNDIVIDED: usize = 100;
+/// Largest number of targets of a shard of a divided zone. It is larger, since more shards cost
+/// heartbeats: every VM of a zone is connected to each dispatcher.
 const MAX_TARGETS_PER_SHARD: usize = 250;
 /// Smallest number of VMs of a zone for each of its shards: one dispatches, the others can take over.
 const MIN_VMS_PER_SHARD: usize = 4;
@@ -30,7 +32,8 @@
 /// ```
 /// use cranberrytray::state::shard::ShardCount;
 ///
-/// assert_eq!(ShardCount::for_zone(120, 11), ShardCount::ONE);
+/// assert_eq!(ShardCount::for_zone(88, 11), ShardCount::ONE);
+/// assert_eq!(ShardCount::for_zone(117, 11).get(), 2);
 /// assert_eq!(ShardCount::for_zone(1_000, 100).get(), 4);
 /// // Two VMs can't dispatch for more than one shard and replace each other.
 /// assert_eq!(ShardCount::for_zone(1_000, 2), ShardCount::ONE);
@@ -45,7 +48,11 @@
     /// Returns the number of shards for a zone with so many targets and VMs.
     pub fn for_zone(targets: usize, vms: usize) -> Self {
         let mut count = 1;
-        while targets > MAX_TARGETS_PER_SHARD * usize::from(count)
+        let max_targets = |count: u16| match count {
+            1 => MAX_TARGETS_UNDIVIDED,
+            count => MAX_TARGETS_PER_SHARD * usize::from(count),
+        };
+        while targets > max_targets(count)
             && vms >= MIN_VMS_PER_SHARD * usize::from(count) * 2
             && count < MAX_SHARDS
         {
--- a/tests/shards.rs
+++ b/tests/shards.rs
@@ -44,7 +44,8 @@
 #[test]
 fn for_zone_keeps_small_zones_whole() {
     let count = |targets, vms| ShardCount::for_zone(targets, vms).get();
-    assert_eq!((count(0, 1), count(250, 100), count(251, 100)), (1, 1, 2));
+    assert_eq!((count(0, 1), count(100, 100), count(101, 100)), (1, 1, 2));
+    assert_eq!((count(500, 100), count(501, 100)), (2, 4));
     assert_eq!((count(750, 75), count(100_000, 10_000)), (4, 16));
     assert_eq!((count(1_000, 7), count(1_000, 8), count(1_000, 16)), (1, 2, 4));
 }
