--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -1,5 +1,5 @@
-//! The dispatcher's role of this VM, for one shard of its zone: becoming dispatcher and stepping down, and the driver that
-//! carries out the actions of the dispatcher's core.
+//! The dispatcher's role of this VM, for one shard of its zone: becoming dispatcher and stepping down,
+//! and the driver that carries out the actions of the dispatcher's core.
 
 use super::{Node, TargetClient};
 use crate::{
--- a/src/fleet/election.rs
+++ b/src/fleet/election.rs
@@ -265,8 +265,8 @@
             && self.shard_targets().is_empty()
     }
 
-    /// What this VM knows after a round of the election of a shard's dispatcher. `links` are the connections made in it,
-    /// `peers` the other candidates.
+    /// What this VM knows after a round of the election of a shard's dispatcher. `links` are the
+    /// connections made in it, `peers` the other candidates.
     fn election_round(
         &self,
         index: u16,
