--- a/src/fleet/shards.rs
+++ b/src/fleet/shards.rs
@@ -24,9 +24,9 @@
 /// peers report it with every heartbeat.
 const UNDIVIDED_SPAN: Duration = Duration::from_secs(3);
 
-/// Oldest list of targets that a VM takes from another. A draining target is known in all after this
-/// and two poll intervals, well within the usual bound of 3 s.
-const MAX_SHARED_LIST_AGE: Duration = Duration::from_millis(1_500);
+/// Oldest list of targets that a VM takes from another. With its own poll interval of at most 0.6 s, it
+/// learns of a draining target within 1.5 s, and the platform's bounds for that are 2 s and more.
+const MAX_SHARED_LIST_AGE: Duration = Duration::from_millis(900);
 
 /// The search for the dispatcher of one shard, and the connection to it.
 pub(super) struct ShardLink {
