Log the history of unusual runs, and runs found after they were closed

What callers saw: two tasks ran twice, and nothing in the processes' logs told why. The record of the first case has 30 lines, of which none names the task's requests, their lease ends or the target's clock.

Cause: a run was logged only as it ended, with its outcome and age. A run that a target had although its dispatcher had closed it was stopped without a line; an expired lease said nothing of the requests that had no answer, and a new incarnation nothing of the runs that were open on it.

Change: a run that was lost, or of which a start or stop had no answer, ends with one line that has its history: token, number and age of the requests, their answers, the end of its lease on both clocks, the age of the clock reading and the lead of the estimate over the latest reading, the age of the target's last report, and the incarnations. Lines of rare events have kinds of their own, so that common ones do not displace them. Usual runs leave no line.

Counters: late_runs, unknown_runs, expired_runs_silent, expired_runs_answering; gauge clock_lead_seconds.

Tests: tests/dispatch/run_log.rs, one for each event; none of the events existed before.

--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -1,12 +1,15 @@
 //! Events that a dispatcher writes to the log.
 
-use super::SpareCpu;
+use super::{
+    SpareCpu,
+    run_log::{ClosedRun, FoundRun, RunHistory},
+};
 use crate::state::{
     fleet_config::QueueName,
     id::ZoneName,
     job_submission::{CallerJobId, JobSubmission, Refusal, RunNumber, Step, TaskId},
     shard::Shard,
-    target::{RunOutcome, TargetId},
+    target::{FencingToken, RunOutcome, TargetId, TargetIncarnation},
 };
 use derive_more::Display;
 use std::time::Duration;
@@ -121,6 +124,60 @@
         age: Duration,
         /// True if its job is still open.
         has_job: bool,
+        /// What was known of the run, if it was lost or a request for it was not answered.
+        history: Option<Box<RunHistory>>,
+    },
+    /// A run was found on a target although this dispatcher had closed it, or had taken the target
+    /// over and did not start it.
+    LateRun {
+        /// Task of the run.
+        task: TaskId,
+        /// Number of the run.
+        run: RunNumber,
+        /// Target of the run.
+        target: TargetId,
+        /// What the target reports of it.
+        state: FoundRun,
+        /// Fencing token of this dispatcher.
+        token: FencingToken,
+        /// Incarnation of the target.
+        incarnation: TargetIncarnation,
+        /// Time since the target was taken over.
+        owned: Duration,
+        /// Time until the latest end of the target's leases, in milliseconds.
+        lease_left_ms: i64,
+        /// Time by which the estimate of the target's clock was ahead, in milliseconds.
+        clock_lead_ms: i64,
+        /// Target on which this dispatcher has another run of the task now.
+        elsewhere: Option<TargetId>,
+        /// Time since this dispatcher closed the run, and how; `None` if it knows no such run.
+        closed: Option<(Duration, Box<ClosedRun>)>,
+    },
+    /// A run of an earlier dispatcher was found on a target that is being taken over.
+    EarlierRun {
+        /// Task of the run.
+        task: TaskId,
+        /// Number of the run.
+        run: RunNumber,
+        /// Target of the run.
+        target: TargetId,
+        /// Fencing token of this dispatcher.
+        token: FencingToken,
+    },
+    /// A target has a new incarnation.
+    Restarted {
+        /// The target.
+        target: TargetId,
+        /// Its new incarnation.
+        incarnation: TargetIncarnation,
+        /// The incarnation before.
+        earlier: TargetIncarnation,
+        /// Number of runs that were started on the earlier one and are not closed.
+        runs: usize,
+        /// Number of those with a start or stop request without an answer.
+        unanswered: usize,
+        /// Time until the latest end of the target's leases, in milliseconds.
+        lease_left_ms: i64,
     },
     /// A run was stopped because it was far behind its expected end or would end too late.
     Straggler {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -22,6 +22,7 @@
 pub mod placement;
 pub mod replies;
 mod reservation;
+pub mod run_log;
 pub mod runs;
 mod size_forecast;
 mod size_match;
@@ -202,6 +203,8 @@
     pub crashing_jobs: u64,
     /// Runs stopped to be restarted elsewhere, because they were far behind or would end too late.
     pub stragglers: u64,
+    /// Runs that were closed without the target's report, or found later.
+    pub unusual_runs: run_log::UnusualRunCounts,
     /// Outlier ejections of targets.
     pub ejections: u64,
     /// Requests that targets rejected because they had seen a higher fencing token.
@@ -225,6 +228,8 @@
     queued_jobs: BTreeSet<Rank>,
     /// Number of runs that are not closed yet and belong to no open job, by job id.
     orphaned_runs: IndexMap<CallerJobId, u32>,
+    /// Closed runs that a target may still start.
+    closed_runs: run_log::ClosedRuns,
     /// Submissions that wait until earlier runs of their tasks are closed.
     deferred: Vec<DeferredSubmission>,
     remote_shards: IndexMap<Shard, RemoteShard>,
@@ -278,6 +283,7 @@
             keys_by_job_id: IndexMap::new(),
             queued_jobs: BTreeSet::new(),
             orphaned_runs: IndexMap::new(),
+            closed_runs: run_log::ClosedRuns::default(),
             deferred: Vec::new(),
             remote_shards: IndexMap::new(),
             evacuations: Evacuations::default(),
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -123,10 +123,10 @@
         if incarnation <= target.info.incarnation {
             return;
         }
-        target.info.incarnation = incarnation;
+        let earlier = std::mem::replace(&mut target.info.incarnation, incarnation);
         target.clock = None;
         target.last_end_sequence = 0;
-        self.log(LogEvent::TargetStateChanged { target: id.clone(), state: "a new incarnation" });
+        self.log_restart(id, earlier);
     }
 
     /// Closes all runs of a target as lost.
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -8,7 +8,7 @@
     fleet_config::QueueName,
     job_submission::{Step, TaskId},
     mechanism::Mechanism,
-    target::{Run, RunState, Target, TargetId},
+    target::{Run, RunState, StartAnswer, Target, TargetId},
     time::Moment,
 };
 use std::{cmp::Ordering, time::Duration};
@@ -331,8 +331,11 @@
             needs: step.needs,
             incarnation: target.info.incarnation,
             state: RunState::Starting,
+            first_sent_at: now,
             start_sent_at: now,
             start_attempts: 1,
+            start_answer: StartAnswer::Pending,
+            lease_end: lease.end,
             pending_lease_end: Some(lease.latest_end),
             expected_duration: best.run_time,
             expected_end: now + best.run_time,
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -5,7 +5,8 @@
     job_submission::{RunNumber, TaskId},
     mechanism::Mechanism,
     target::{
-        ClockReading, LossCause, Run, RunOutcome, RunState, TargetId, TargetReport, TargetTime,
+        ClockReading, LossCause, Run, RunOutcome, RunState, StartAnswer, TargetId, TargetReport,
+        TargetTime,
     },
     time::Moment,
 };
@@ -56,6 +57,17 @@
     Unknown,
 }
 
+impl From<StartReply> for StartAnswer {
+    fn from(reply: StartReply) -> Self {
+        match reply {
+            StartReply::Started(_) => StartAnswer::Started,
+            StartReply::Refused(..) => StartAnswer::Refused,
+            StartReply::NotSent => StartAnswer::NotSent,
+            StartReply::Unknown => StartAnswer::Unanswered,
+        }
+    }
+}
+
 /// Reply to a stop request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopReply {
@@ -116,11 +128,13 @@
         self.check_suspension(now);
         let Some(target) = self.targets.get_mut(id) else { return };
         if let StartReply::Started(clock) | StartReply::Refused(_, Some(clock)) = reply {
+            target.record_clock_lead(clock, now);
             target.clock = latest_clock(target.clock, clock, now);
         }
         let Some(run) = target.runs.get_mut(&task).filter(|r| r.number == number) else { return };
         // A lease that was not sent must not keep the runs of an unreachable target open.
         let lease_end = run.pending_lease_end.take().filter(|_| reply != StartReply::NotSent);
+        run.start_answer = reply.into();
         let start_sent_at = run.start_sent_at;
         target.lease_end = target.lease_end.max(lease_end.unwrap_or_default());
         match reply {
@@ -183,6 +197,7 @@
         let waited = now - run.start_sent_at;
         run.start_attempts += 1;
         run.pending_lease_end = Some(lease.latest_end);
+        run.lease_end = lease.end;
         run.expected_end = now + (run.expected_end - run.start_sent_at);
         run.start_sent_at = now;
         let number = run.number;
@@ -286,6 +301,7 @@
             self.update_incarnation(id, incarnation);
         }
         let Some(target) = self.targets.get_mut(id) else { return };
+        target.record_clock_lead(report.clock, now);
         target.clock = latest_clock(target.clock, report.clock, now);
         target.last_report_at = now;
         target.accepted_token = true;
@@ -309,6 +325,7 @@
                 continue;
             }
             target.last_end_sequence = end.sequence;
+            self.log_unknown_end(id, end.task, end.run, end.outcome, now);
             self.close_run(end.task, end.run, id, end.outcome, now);
         }
     }
@@ -317,6 +334,7 @@
     /// from the report. The target is taken over once neither kind is left.
     fn reconcile_runs(&mut self, id: &TargetId, sent: Moment, report: &TargetReport, now: Moment) {
         self.update_progress(id, report, now);
+        self.log_unknown_runs(id, report, now);
         let Some(target) = self.targets.get(id) else { return };
         let mut foreign_stops = Vec::new();
         for running in &report.running {
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -213,12 +213,14 @@
         else {
             return;
         };
+        let history = self.record_closed_run(task, target_id, &run, outcome, now);
         self.on_suspect_ended(task, outcome);
         let is_lost = matches!(outcome, RunOutcome::Lost(_));
         if is_lost {
             self.counts.lost_runs += 1;
         }
-        if is_lost || outcome != RunOutcome::Done && run.job.is_some() {
+        let is_logged = run.job.is_some() || history.is_some();
+        if is_lost || outcome != RunOutcome::Done && is_logged {
             self.log(LogEvent::RunEnded {
                 task,
                 run: number,
@@ -226,6 +228,7 @@
                 outcome,
                 age: now - run.start_sent_at,
                 has_job: run.job.is_some(),
+                history,
             });
         }
         match run.job {
--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -1,11 +1,17 @@
 //! Log of the dispatcher's decisions, rate-limited for each kind of decision.
 
-use crate::{coordination::dispatch::LogEvent, state::time::Moment};
+use crate::{
+    coordination::dispatch::{LogEvent, run_log::FoundRun},
+    state::{
+        target::{LossCause, RunOutcome},
+        time::Moment,
+    },
+};
 use indexmap::IndexMap;
 
 /// Largest number of log lines a second for one kind of decision. A dispatcher of the largest sites
 /// admits 400 jobs a second; refusals and faults have kinds of their own, so that lines of admitted
-/// jobs do not displace theirs.
+/// jobs do not displace theirs, and so has each way in which a task may come to run twice.
 const MAX_LINES_PER_SECOND: u32 = 50;
 
 /// A rate-limited log, which counts the lines that it leaves out.
@@ -46,13 +52,30 @@
 }
 
 /// Returns the kind of an event. Lines are rate-limited for each kind separately.
-fn kind(event: &LogEvent) -> &'static str {
+pub fn kind(event: &LogEvent) -> &'static str {
     match event {
         LogEvent::Admitted { .. } => "admitted",
         LogEvent::Refused { .. } => "refused",
         LogEvent::Redirected { .. } => "passed",
         LogEvent::StartResent { .. } => "resent",
-        LogEvent::RunEnded { .. } => "run ended",
+        LogEvent::RunEnded { history: None, .. } => "run ended",
+        LogEvent::RunEnded { outcome, history: Some(history), .. } => match outcome {
+            RunOutcome::Lost(LossCause::Expired) if history.has_unanswered_request() => {
+                "run expired without an answer"
+            }
+            RunOutcome::Lost(LossCause::Expired) if !history.unresponsive => {
+                "run expired on a target that answers"
+            }
+            RunOutcome::Lost(LossCause::Expired) => "run expired",
+            RunOutcome::Lost(LossCause::Restarted) => "run lost in a restart",
+            _ => "unusual run",
+        },
+        LogEvent::LateRun { state: FoundRun::Ended(_), .. } => "late end",
+        LogEvent::LateRun { closed: Some(_), .. } => "late run",
+        LogEvent::LateRun { closed: None, .. } => "unknown run",
+        LogEvent::EarlierRun { .. } => "earlier run",
+        LogEvent::Restarted { runs: 0, .. } => "restart",
+        LogEvent::Restarted { .. } => "restart under runs",
         LogEvent::Straggler { .. } => "straggler",
         LogEvent::SlowRun { .. } => "slow run",
         LogEvent::GivenUp { .. } => "crashes",
@@ -61,7 +84,7 @@
         LogEvent::CompletedLate { .. } => "late",
         LogEvent::Ejected { .. } => "set aside",
         LogEvent::Unresponsive { .. } => "unresponsive",
-        LogEvent::TargetStateChanged { .. } => "target",
+        LogEvent::TargetStateChanged { state, .. } => state,
         LogEvent::EvacuationBegan { .. } | LogEvent::EvacuationEnded { .. } => "evacuation",
         LogEvent::Suspended { .. } => "woke",
     }
@@ -91,10 +114,49 @@
         LogEvent::StartResent { task, target, waited } => {
             log::info!("dispatch: start of {task} on {target} sent again after {waited:?}");
         }
-        LogEvent::RunEnded { task, run, target, outcome, age, has_job } => {
+        LogEvent::RunEnded { task, run, target, outcome, age, has_job, history } => {
             let note = if *has_job { "" } else { ", its job is closed" };
+            let history =
+                history.as_ref().map_or_else(String::new, |history| format!(", {history}"));
+            log::info!(
+                "dispatch: run {run} of {task} on {target} ended after {age:?}: \
+                 {outcome}{note}{history}"
+            );
+        }
+        LogEvent::LateRun {
+            task,
+            run,
+            target,
+            state,
+            token,
+            incarnation,
+            owned,
+            lease_left_ms,
+            clock_lead_ms,
+            elsewhere,
+            closed,
+        } => {
+            let elsewhere = elsewhere.as_ref().map_or("none", |id| &*id.0);
+            let closed = closed.as_ref().map_or_else(
+                || "not started by this dispatcher".to_owned(),
+                |(ago, closed)| format!("closed {ago:?} before: {closed}"),
+            );
+            log::warn!(
+                "dispatch: run {run} of {task} on {target} found {state}, own_token={token} \
+                 owned={owned:?} in={incarnation} lease_left_now={lease_left_ms}ms \
+                 clock_lead_now={clock_lead_ms}ms elsewhere={elsewhere}, {closed}"
+            );
+        }
+        LogEvent::EarlierRun { task, run, target, token } => {
+            log::info!(
+                "dispatch: run {run} of {task} on {target} is of an earlier dispatcher, \
+                 own_token={token}, stopped"
+            );
+        }
+        LogEvent::Restarted { target, incarnation, earlier, runs, unanswered, lease_left_ms } => {
             log::info!(
-                "dispatch: run {run} of {task} on {target} ended after {age:?}: {outcome}{note}"
+                "targets: {target} is a new incarnation {incarnation}, was {earlier}, runs={runs} \
+                 unanswered={unanswered} lease_left={lease_left_ms}ms"
             );
         }
         LogEvent::Unresponsive { target, reason, runs, youngest } => {
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -158,6 +158,9 @@
             "Time since the evacuated zones were last read or accepted from a VM, in seconds";
         let age = ConstGauge::new(self.evacuation_age().as_secs_f64());
         registry.register("evacuation_revision_age_seconds", help, age);
+        let help = "Largest lead of the estimate of a target's clock over its latest reading";
+        let lead = core.map_or(Duration::ZERO, |core| core.max_clock_lead());
+        registry.register("clock_lead_seconds", help, ConstGauge::new(lead.as_secs_f64()));
     }
 }
 
@@ -187,6 +190,26 @@
             "Runs lost, by a lease that ran out or with their target",
             counts.lost_runs,
         ),
+        (
+            "expired_runs_silent",
+            "Runs closed by the end of their lease while their target was unresponsive",
+            counts.unusual_runs.expired_silent,
+        ),
+        (
+            "expired_runs_answering",
+            "Runs closed by the end of their lease while their target answered",
+            counts.unusual_runs.expired_answering,
+        ),
+        (
+            "late_runs",
+            "Runs found on a target after this dispatcher had closed them",
+            counts.unusual_runs.late,
+        ),
+        (
+            "unknown_runs",
+            "Runs found on an owned target that this dispatcher did not start there",
+            counts.unusual_runs.unknown,
+        ),
         ("crashing_jobs", "Jobs failed for a task that crashes targets", counts.crashing_jobs),
         ("stragglers", "Runs stopped to start again elsewhere", counts.stragglers),
         ("targets_set_aside", "Times that a target was set aside", counts.ejections),
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -8,7 +8,7 @@
     time::Moment,
 };
 use derive_more::{Display, From};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -197,6 +197,27 @@
     },
 }
 
+/// Answer of a target to a start request.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
+pub enum StartAnswer {
+    /// None yet.
+    #[default]
+    #[display("pending")]
+    Pending,
+    /// The run has started.
+    #[display("started")]
+    Started,
+    /// The request was refused.
+    #[display("refused")]
+    Refused,
+    /// No connection could be made.
+    #[display("not_sent")]
+    NotSent,
+    /// No valid answer arrived in time.
+    #[display("unanswered")]
+    Unanswered,
+}
+
 /// A run that may exist on a target.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -210,10 +231,16 @@
     pub incarnation: TargetIncarnation,
     /// State of the run.
     pub state: RunState,
+    /// Time at which the first start request was sent.
+    pub first_sent_at: Moment,
     /// Time at which the last start request was sent.
     pub start_sent_at: Moment,
     /// Number of start requests sent.
     pub start_attempts: u32,
+    /// Answer to the last start request.
+    pub start_answer: StartAnswer,
+    /// End of the lease in the last start request, on the target's clock.
+    pub lease_end: TargetTime,
     /// Latest end of the lease that the start request grants; `None` once the request is answered
     /// or has timed out.
     pub pending_lease_end: Option<Moment>,
@@ -328,6 +355,10 @@
     /// Reading of the target's clock that is furthest ahead; `None` until one has arrived, or if
     /// the target has rejected a start because of its clock.
     pub clock: Option<ClockReading>,
+    /// Time by which `clock`, extrapolated, was ahead of the latest reading, in milliseconds.
+    pub clock_lead_ms: i64,
+    /// Runs in the last report that this dispatcher did not know.
+    pub unknown_runs: IndexSet<(TaskId, RunNumber)>,
     /// Runs of this dispatcher that may exist on the target.
     pub runs: IndexMap<TaskId, Run>,
     /// Resources that the runs in `runs` occupy.
@@ -372,6 +403,8 @@
             taken_over_at: Moment::ZERO,
             accepted_token: false,
             clock: None,
+            clock_lead_ms: 0,
+            unknown_runs: IndexSet::new(),
             runs: IndexMap::new(),
             used: Resources::default(),
             last_end_sequence: 0,
@@ -389,6 +422,12 @@
         }
     }
 
+    /// Records by how much the estimate of the target's clock is ahead of a new reading.
+    pub fn record_clock_lead(&mut self, time: TargetTime, now: Moment) {
+        self.clock_lead_ms =
+            self.clock.map_or(0, |clock| clock.earliest_at(now).0 as i64 - time.0 as i64);
+    }
+
     /// Resources of the target that no run occupies.
     pub fn free_resources(&self) -> Resources {
         self.info.capacity.saturating_sub(self.used)
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -13,6 +13,7 @@
 mod near_equal_targets;
 mod overload;
 mod ownership;
+mod run_log;
 mod runs;
 mod simulation;
 mod steps;
