Log late and cancelled submissions, and why an outcome is unknown

What callers saw: two tasks ran twice. An entry VM's log says that a job "lost its dispatcher", but not after how long; the dispatcher's log does not say from which VM a job came, nor whether it was cancelled because its caller went away, its entry VM was silent or the connection ended.

Change: the receiver of a job reports one that was read from a connection whose sender had been silent for longer than it waits for a heartbeat, one that it cancels for such silence, and one that was dropped; each line names the VM, the time of silence, the age of the job and of the connection, and whether the job was resumed or redirected. The entry VM logs a caller that goes away, and gives the cause of each unknown outcome. Each has a kind of its own in the rate limit.

Counters: late_submissions, cancelled_submissions{cause}, callers_gone, unknown_outcomes{cause}. The outcomes themselves are as before.

--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -6,6 +6,7 @@
         target::{LossCause, RunOutcome},
         time::Moment,
     },
+    transport::received_job::{ReceivedJob, ReceivedJobEvent},
 };
 use indexmap::IndexMap;
 
@@ -31,6 +32,18 @@
         }
     }
 
+    /// Writes a line on a job that a peer sent.
+    pub fn log_received_job(&mut self, job: &ReceivedJob, event: ReceivedJobEvent, now: Moment) {
+        let (kind, level) = match event {
+            ReceivedJobEvent::ArrivedLate => ("arrived late", log::Level::Warn),
+            ReceivedJobEvent::SenderUnresponsive => ("sender unresponsive", log::Level::Warn),
+            ReceivedJobEvent::Dropped => ("cancelled", log::Level::Info),
+        };
+        if self.allows(kind, now) {
+            log::log!(level, "links: job {job}: {event}");
+        }
+    }
+
     /// Counts a line of this kind. Returns false if it exceeds the limit and must be left out.
     pub fn allows(&mut self, kind: &'static str, now: Moment) -> bool {
         let second = now.since_start().as_secs();
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -16,6 +16,7 @@
         rpc::RpcError,
     },
 };
+use derive_more::{Display, From};
 use std::{
     net::SocketAddr,
     pin::pin,
@@ -47,6 +48,86 @@
 /// A connection for redirected jobs is closed after this time without such a job.
 const REDIRECT_LINK_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Why the outcome of a caller's job is unknown.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum UnknownCause {
+    /// The dispatcher answered so; its log has the reason.
+    #[display("the dispatcher says so")]
+    Dispatcher,
+    /// The dispatcher was lost, and it is too late for another one.
+    #[display("its dispatcher was lost")]
+    DispatcherLost,
+    /// The dispatcher that it was redirected to was lost.
+    #[display("the dispatcher it was redirected to was lost")]
+    RedirectLost,
+    /// The dispatcher was lost, and no successor is known.
+    #[display("no successor of its dispatcher is known")]
+    NoSuccessor,
+    /// The dispatcher was lost, and its successor refuses the job or can't tell whether it ran.
+    #[display("the successor of its dispatcher does not run it")]
+    Successor,
+    /// The dispatcher was lost, and the zone has another number of shards now.
+    #[display("its zone was divided anew")]
+    ShardsChanged,
+    /// This process exits.
+    #[display("this process exits")]
+    Exit,
+}
+
+impl UnknownCause {
+    /// Value of the metrics' label.
+    pub fn label(self) -> &'static str {
+        match self {
+            UnknownCause::Dispatcher => "dispatcher",
+            UnknownCause::DispatcherLost => "dispatcher_lost",
+            UnknownCause::RedirectLost => "redirect_lost",
+            UnknownCause::NoSuccessor => "no_successor",
+            UnknownCause::Successor => "successor",
+            UnknownCause::ShardsChanged => "shards_changed",
+            UnknownCause::Exit => "exit",
+        }
+    }
+}
+
+/// Why a dispatcher returned no reply to a job.
+#[derive(Debug, From)]
+enum SubmitError {
+    /// The connection failed; the job may be running.
+    Lost(RpcError),
+    /// The job may have run, and no dispatcher can tell.
+    Unknown(UnknownCause),
+}
+
+/// Reports a job whose caller goes away before the answer.
+struct CallerGuard<T>
+where
+    T: TargetClient,
+{
+    node: Rc<Node<T>>,
+    id: CallerJobId,
+    begun: Instant,
+    is_answered: bool,
+}
+
+impl<T> Drop for CallerGuard<T>
+where
+    T: TargetClient,
+{
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        self.node.metrics.caller_gone();
+        if self.node.allows_line("caller gone") {
+            log::info!(
+                "entry: job {} left by its caller after {:?}",
+                self.id,
+                self.begun.elapsed()
+            );
+        }
+    }
+}
+
 /// A connection for jobs redirected to another shard's dispatcher, made once for all jobs that wait
 /// for it.
 pub(super) type RedirectLink = Rc<OnceCell<Rc<PeerLink>>>;
@@ -59,29 +140,56 @@
     pub async fn submit(self: &Rc<Self>, submission: JobSubmission) -> Outcome {
         let begun = Instant::now();
         let id = submission.id;
-        let outcome = tokio::select! {
-            outcome = self.submit_until_answered(submission, begun) => outcome,
+        let mut caller = CallerGuard { node: Rc::clone(self), id, begun, is_answered: false };
+        let answered = tokio::select! {
+            answered = self.submit_until_answered(submission, begun) => answered,
             // Tasks may have run, and the caller would get no answer otherwise.
-            () = self.about_to_exit() => Outcome::Unknown,
+            () = self.about_to_exit() => Err(UnknownCause::Exit),
         };
+        caller.is_answered = true;
+        let answered = match answered {
+            Ok(Outcome::Unknown) => Err(UnknownCause::Dispatcher),
+            answered => answered,
+        };
+        let outcome = answered.unwrap_or(Outcome::Unknown);
         let took = begun.elapsed();
         self.metrics.answered(outcome, took);
-        if outcome != Outcome::Completed
-            && self.decision_log.borrow_mut().allows("answered", self.clock.now())
-        {
-            let version = self.config_version();
-            log::info!("entry: job {id} answered {outcome:?} after {took:?}, config={}", version.0);
+        let version = self.config_version();
+        match answered {
+            Ok(Outcome::Completed) => {}
+            Ok(outcome) if self.allows_line("answered") => {
+                log::info!(
+                    "entry: job {id} answered {outcome:?} after {took:?}, config={}",
+                    version.0
+                );
+            }
+            Ok(_) => {}
+            Err(cause) => {
+                self.metrics.unknown(cause);
+                if self.allows_line(cause.label()) {
+                    log::info!(
+                        "entry: job {id} answered {outcome:?} after {took:?}, cause={cause}, \
+                         config={}",
+                        version.0
+                    );
+                }
+            }
         }
         outcome
     }
 
+    /// Counts a line of this kind; returns false if it must be left out.
+    fn allows_line(&self, kind: &'static str) -> bool {
+        self.decision_log.borrow_mut().allows(kind, self.clock.now())
+    }
+
     /// Submits a job again, with the time that is left, while the dispatcher is lost or refuses it
     /// in a way that permits another attempt.
     async fn submit_until_answered(
         self: &Rc<Self>,
         submission: JobSubmission,
         begun: Instant,
-    ) -> Outcome {
+    ) -> Result<Outcome, UnknownCause> {
         let time_to_deadline = submission.time_to_deadline.min(self.time_to_exit());
         let submission = JobSubmission { time_to_deadline, ..submission };
         let shard_count = self.shard_count();
@@ -98,7 +206,7 @@
                     let time_to_deadline =
                         submission.time_to_deadline.saturating_sub(begun.elapsed());
                     let remaining = JobSubmission { time_to_deadline, ..remaining };
-                    match self.submit_to(to, &remaining).await {
+                    match self.submit_to(to, &remaining).await? {
                         // Nothing of the job ran in the other zone, so this zone may still run it.
                         Outcome::NotRun { .. }
                             if time_to_deadline > MIN_TIME_TO_RESUBMIT
@@ -107,7 +215,7 @@
                             options.may_redirect = false;
                             continue;
                         }
-                        outcome => return outcome,
+                        outcome => return Ok(outcome),
                     }
                 }
                 Ok(DispatchReply::Ended(Outcome::NotRun { refusal: Refusal::Closed, .. }))
@@ -116,18 +224,33 @@
                     refusal: Refusal::NoDispatcher,
                     ..
                 })) if !options.resumed && self.awaits_dispatcher(&submission, begun) => {}
-                Ok(DispatchReply::Ended(Outcome::NotRun { .. })) if options.resumed => {
-                    return Outcome::Unknown;
+                Ok(DispatchReply::Ended(Outcome::NotRun { .. } | Outcome::Unknown))
+                    if options.resumed =>
+                {
+                    return Err(UnknownCause::Successor);
                 }
-                Ok(DispatchReply::Ended(outcome)) => return outcome,
+                Ok(DispatchReply::Ended(outcome)) => return Ok(outcome),
+                Err(SubmitError::Unknown(cause)) => return Err(cause),
                 // The job may be running. Only the zone's next dispatcher can make sure that none
                 // of its runs is left before it starts the job again.
-                Err(e) if can_resubmit => {
-                    log::info!("entry: job {} lost its dispatcher: {e}", submission.id);
+                Err(SubmitError::Lost(e)) if can_resubmit => {
+                    log::info!(
+                        "entry: job {} lost its dispatcher: {e}, age={:?} time_left={:?}",
+                        submission.id,
+                        begun.elapsed(),
+                        submission.time_to_deadline.saturating_sub(begun.elapsed())
+                    );
                     self.metrics.resumed();
                     options = DispatchOptions { may_redirect: false, resumed: true, shard_count };
                 }
-                Err(_) => return Outcome::Unknown,
+                Err(SubmitError::Lost(e)) => {
+                    log::info!(
+                        "entry: job {} lost its dispatcher: {e}, age={:?}, not submitted again",
+                        submission.id,
+                        begun.elapsed()
+                    );
+                    return Err(UnknownCause::DispatcherLost);
+                }
             }
             self.wait_for_dispatcher(&submission, options, begun).await;
         }
@@ -198,21 +321,21 @@
         self: &Rc<Self>,
         submission: &JobSubmission,
         options: DispatchOptions,
-    ) -> Result<DispatchReply, RpcError> {
+    ) -> Result<DispatchReply, SubmitError> {
         if options.resumed && options.shard_count != self.shard_count() {
-            return Ok(DispatchReply::Ended(Outcome::Unknown));
+            return Err(UnknownCause::ShardsChanged.into());
         }
         if self.dispatches_job(submission.id) {
             return Ok(self.run_locally(submission.clone(), options).await);
         }
         if let Some(link) = self.link_for(submission.id).get() {
-            return link.run(submission, options).await;
+            return Ok(link.run(submission, options).await?);
         }
         if options.resumed {
-            return Ok(DispatchReply::Ended(Outcome::Unknown));
+            return Err(UnknownCause::NoSuccessor.into());
         }
         let outcome = match self.any_other_link(submission.id).await {
-            Some(link) => run_redirected(&link, submission).await,
+            Some(link) => run_redirected(&link, submission).await?,
             None => NO_DISPATCHER,
         };
         // This shard may still run a job that the other one refuses.
@@ -222,12 +345,16 @@
     }
 
     /// Submits a job to the dispatcher of another shard, to which its own redirected it.
-    async fn submit_to(self: &Rc<Self>, to: SocketAddr, submission: &JobSubmission) -> Outcome {
+    async fn submit_to(
+        self: &Rc<Self>,
+        to: SocketAddr,
+        submission: &JobSubmission,
+    ) -> Result<Outcome, UnknownCause> {
         match self.redirect_link(to).await {
             Ok(link) => run_redirected(&link, submission).await,
             Err(e) => {
                 log::info!("entry: job {} not redirected to {to}: {e}", submission.id);
-                NO_DISPATCHER
+                Ok(NO_DISPATCHER)
             }
         }
     }
@@ -293,21 +420,27 @@
 }
 
 /// Submits a job to another shard's dispatcher, which may refuse it but not redirect it again.
-async fn run_redirected(link: &PeerLink, submission: &JobSubmission) -> Outcome {
+async fn run_redirected(
+    link: &PeerLink,
+    submission: &JobSubmission,
+) -> Result<Outcome, UnknownCause> {
+    let sent = Instant::now();
     let shard_count = ShardCount::ONE; // Of no use to a dispatcher that has not run the job before.
     let options = DispatchOptions { may_redirect: false, resumed: false, shard_count };
     match link.run(submission, options).await {
-        Ok(DispatchReply::Ended(outcome)) => outcome,
+        Ok(DispatchReply::Ended(outcome)) => Ok(outcome),
         Ok(DispatchReply::Redirected(to)) => {
             log::error!("entry: job {} redirected to {to} against its options", submission.id);
-            Outcome::NotRun { refusal: Refusal::Closed, retry_after: NO_DISPATCHER_RETRY }
+            Ok(Outcome::NotRun { refusal: Refusal::Closed, retry_after: NO_DISPATCHER_RETRY })
         }
         Err(e) => {
             log::info!(
-                "entry: job {} lost the dispatcher it was redirected to: {e}",
-                submission.id
+                "entry: job {} lost the dispatcher it was redirected to: {e}, at {}, after {:?}",
+                submission.id,
+                link.address,
+                sent.elapsed()
             );
-            Outcome::Unknown
+            Err(UnknownCause::RedirectLost)
         }
     }
 }
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -1,9 +1,10 @@
 //! Metrics of a VM in the OpenMetrics text format: counters, gauges and latency histograms.
 
-use super::{Node, TargetClient};
+use super::{Node, TargetClient, entry::UnknownCause};
 use crate::{
     coordination::dispatch::Counts,
     state::job_submission::{Outcome, Refusal},
+    transport::received_job::ReceivedJobEvent,
 };
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -31,6 +32,11 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
 /// Counters and histograms of the jobs that callers sent to this VM.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -38,6 +44,10 @@
     refusals: Family<RefusalLabel, Counter>,
     resumed: Counter,
     redirected: Counter,
+    unknown: Family<CauseLabel, Counter>,
+    callers_gone: Counter,
+    arrived_late: Counter,
+    cancelled: Family<CauseLabel, Counter>,
 }
 
 impl Default for Metrics {
@@ -47,6 +57,10 @@
             refusals: Family::default(),
             resumed: Counter::default(),
             redirected: Counter::default(),
+            unknown: Family::default(),
+            callers_gone: Counter::default(),
+            arrived_late: Counter::default(),
+            cancelled: Family::default(),
         }
     }
 }
@@ -78,6 +92,29 @@
         self.redirected.inc();
     }
 
+    /// Counts a caller's job that was answered as unknown.
+    pub fn unknown(&self, cause: UnknownCause) {
+        self.unknown.get_or_create(&CauseLabel { cause: cause.label() }).inc();
+    }
+
+    /// Counts a job whose caller went away before its answer.
+    pub fn caller_gone(&self) {
+        self.callers_gone.inc();
+    }
+
+    /// Counts a job received from a peer that is silent or gone.
+    pub fn received_job(&self, event: ReceivedJobEvent) {
+        let cause = match event {
+            ReceivedJobEvent::ArrivedLate => {
+                self.arrived_late.inc();
+                return;
+            }
+            ReceivedJobEvent::SenderUnresponsive => "sender_unresponsive",
+            ReceivedJobEvent::Dropped => "dropped",
+        };
+        self.cancelled.get_or_create(&CauseLabel { cause }).inc();
+    }
+
     fn register(&self, registry: &mut Registry) {
         let help = "Time from reading a job to its answer, by outcome";
         registry.register("job_seconds", help, self.jobs.clone());
@@ -86,6 +123,14 @@
         registry.register("resumed_jobs", help, self.resumed.clone());
         let help = "Jobs given to another zone's dispatcher";
         registry.register("passed_jobs", help, self.redirected.clone());
+        let help = "Callers' jobs answered as unknown, by cause";
+        registry.register("unknown_outcomes", help, self.unknown.clone());
+        let help = "Jobs whose callers went away before the answer";
+        registry.register("callers_gone", help, self.callers_gone.clone());
+        let help = "Jobs read from a connection that their sender had given up";
+        registry.register("late_submissions", help, self.arrived_late.clone());
+        let help = "Jobs of other VMs that were cancelled, by cause";
+        registry.register("cancelled_submissions", help, self.cancelled.clone());
     }
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -36,7 +36,10 @@
         target::{TargetId, TargetInfo, TargetReport, TargetTime},
         time::Moment,
     },
-    transport::fleet::{DispatchOptions, PeerHandler, PeerLink},
+    transport::{
+        fleet::{DispatchOptions, PeerHandler, PeerLink},
+        received_job::{ReceivedJob, ReceivedJobEvent},
+    },
 };
 use clock::Clock;
 use decision_log::DecisionLog;
@@ -441,6 +444,11 @@
         self.run_locally(submission, options).await
     }
 
+    fn on_received_job(&self, job: &ReceivedJob, event: ReceivedJobEvent) {
+        self.metrics.received_job(event);
+        self.decision_log.borrow_mut().log_received_job(job, event, self.clock.now());
+    }
+
     fn take_over(self: &Rc<Self>, epoch: u64, kept: Vec<TargetId>) -> bool {
         self.take_over_from(epoch, kept)
     }
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -4,7 +4,10 @@
 //! the outcome of the jobs that it sent over the connection is then unknown. The serving side stops
 //! the jobs that it received over a connection when no heartbeat has arrived for a while.
 
-use super::rpc::{RpcError, connect_with_timeouts, serve_with};
+use super::{
+    received_job::{ReceivedJob, ReceivedJobEvent, ReceivedJobGuard},
+    rpc::{RpcError, connect_with_timeouts, serve_with},
+};
 use crate::{
     fleet_capnp::peer,
     protocol::fleet::{
@@ -13,7 +16,7 @@
         write_evacuated_zones, write_heartbeat, write_job_submission, write_peer,
     },
     state::{
-        id::{ConfigVersion, ZoneName},
+        id::{ConfigVersion, VmName, ZoneName},
         job_submission::{JobSubmission, Outcome},
         shard::ShardCount,
         target::TargetId,
@@ -75,6 +78,8 @@
         job: JobSubmission,
         options: DispatchOptions,
     ) -> impl Future<Output = DispatchReply>;
+    /// Records something unusual about a job that a peer sent.
+    fn on_received_job(&self, _job: &ReceivedJob, _event: ReceivedJobEvent) {}
     /// Takes over all targets except `kept` from the dispatcher with this epoch; returns false if
     /// this VM declines.
     fn take_over(self: &Rc<Self>, epoch: u64, kept: Vec<TargetId>) -> bool;
@@ -84,17 +89,41 @@
     fn target_list(&self) -> Option<TargetList>;
 }
 
-struct PeerServer<H> {
+pub(super) struct PeerServer<H> {
     handler: Rc<H>,
     connected_at: Instant,
     /// Time from `connected_at` to the latest moment at which the peer was provably alive.
     last_alive: Cell<Duration>,
+    /// Name of the peer, as its heartbeats give it.
+    sender: RefCell<Option<VmName>>,
 }
 
 impl<H> PeerServer<H> {
+    pub(super) fn handler(&self) -> &Rc<H> {
+        &self.handler
+    }
+
+    pub(super) fn sender(&self) -> Option<VmName> {
+        self.sender.borrow().clone()
+    }
+
+    pub(super) fn connected_for(&self) -> Duration {
+        self.connected_at.elapsed()
+    }
+
+    /// Time since the peer was last proven alive.
+    pub(super) fn silence(&self) -> Duration {
+        self.connected_at.elapsed().saturating_sub(self.last_alive.get())
+    }
+
+    /// Whether the peer has been silent for longer than it waits for an answer to a heartbeat.
+    pub(super) fn has_given_up(&self) -> bool {
+        self.silence() > HEARTBEAT_TIMEOUT
+    }
+
     async fn wait_until_unresponsive(&self) {
         loop {
-            let unresponsive_for = self.connected_at.elapsed() - self.last_alive.get();
+            let unresponsive_for = self.silence();
             if unresponsive_for >= UNRESPONSIVE_TIMEOUT {
                 return;
             }
@@ -118,7 +147,9 @@
         let params = params.get()?;
         let alive_at = Duration::from_millis(params.get_echo());
         self.last_alive.set(self.last_alive.get().max(alive_at.min(self.connected_at.elapsed())));
-        self.handler.on_heartbeat(read_heartbeat(params.get_beat()?)?);
+        let heartbeat = read_heartbeat(params.get_beat()?)?;
+        self.sender.borrow_mut().get_or_insert_with(|| heartbeat.from.vm.clone());
+        self.handler.on_heartbeat(heartbeat);
         let mut results = results.get();
         results.set_token(self.connected_at.elapsed().as_millis() as u64);
         write_heartbeat(&self.handler.heartbeat(), results.init_beat());
@@ -137,10 +168,15 @@
             shard_count: ShardCount::from_wire(params.get_shard_count()),
         };
         let job = read_job_submission(params.get_work()?)?;
+        let guard = ReceivedJobGuard::new(&self, job.id, options);
         let reply = tokio::select! {
             reply = self.handler.run(job, options) => reply,
-            () = self.wait_until_unresponsive() => DispatchReply::Ended(Outcome::Unknown),
+            () = self.wait_until_unresponsive() => {
+                guard.cancel();
+                DispatchReply::Ended(Outcome::Unknown)
+            }
         };
+        guard.end();
         write_dispatch_reply(reply, results.get());
         Ok(())
     }
@@ -207,6 +243,7 @@
             handler,
             connected_at: Instant::now(),
             last_alive: Cell::default(),
+            sender: RefCell::default(),
         })
     };
     serve_with(listener, make).await;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -9,6 +9,7 @@
 pub mod operators;
 pub mod peers;
 pub mod platform;
+pub mod received_job;
 pub mod rpc;
 pub mod traffic;
 pub mod workers;
--- /dev/null
+++ b/src/transport/received_job.rs
@@ -0,0 +1,114 @@
+//! What the receiver of a job notices of a sender that is silent or gone.
+
+use super::fleet::{DispatchOptions, PeerHandler, PeerServer};
+use crate::state::{id::VmName, job_submission::CallerJobId};
+use derive_more::Display;
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::time::Instant;
+
+/// A job received from a peer.
+#[derive(Clone, Debug, Display)]
+#[display(
+    "{id} from {}, age={age:?} silence={silence:?} connected={connected:?} resumed={} redirected={}",
+    from.as_ref().map_or("an unnamed VM", |vm| vm.as_str()),
+    options.resumed,
+    !options.may_redirect && !options.resumed
+)]
+pub struct ReceivedJob {
+    /// Job id chosen by the caller.
+    pub id: CallerJobId,
+    /// VM that sent the job; `None` before its first heartbeat.
+    pub from: Option<VmName>,
+    /// Options that the job came with.
+    pub options: DispatchOptions,
+    /// Time since the job was read from the connection.
+    pub age: Duration,
+    /// Time since the sender was last proven alive.
+    pub silence: Duration,
+    /// Age of the connection.
+    pub connected: Duration,
+}
+
+/// Why a received job is of interest to operators.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum ReceivedJobEvent {
+    /// It was read from a connection whose sender had been silent for so long that it has given the
+    /// connection up, and may have answered its caller.
+    #[display("arrived late")]
+    ArrivedLate,
+    /// It was cancelled because its sender was silent.
+    #[display("cancelled, its sender is unresponsive")]
+    SenderUnresponsive,
+    /// It was cancelled by its sender, or with the connection.
+    #[display("cancelled by its sender or with the connection")]
+    Dropped,
+}
+
+/// Watches a job while it runs, and reports to the handler if the job is dropped before its end.
+pub(super) struct ReceivedJobGuard<H>
+where
+    H: PeerHandler,
+{
+    server: Rc<PeerServer<H>>,
+    id: CallerJobId,
+    options: DispatchOptions,
+    received_at: Instant,
+    has_ended: Cell<bool>,
+}
+
+impl<H> ReceivedJobGuard<H>
+where
+    H: PeerHandler,
+{
+    pub(super) fn new(
+        server: &Rc<PeerServer<H>>,
+        id: CallerJobId,
+        options: DispatchOptions,
+    ) -> Self {
+        let guard = ReceivedJobGuard {
+            server: Rc::clone(server),
+            id,
+            options,
+            received_at: Instant::now(),
+            has_ended: Cell::new(false),
+        };
+        if server.has_given_up() {
+            guard.report(ReceivedJobEvent::ArrivedLate);
+        }
+        guard
+    }
+
+    /// Records that the job has ended.
+    pub(super) fn end(&self) {
+        self.has_ended.set(true);
+    }
+
+    /// Records that the job is cancelled because its sender is silent.
+    pub(super) fn cancel(&self) {
+        self.end();
+        self.report(ReceivedJobEvent::SenderUnresponsive);
+    }
+
+    fn report(&self, event: ReceivedJobEvent) {
+        let job = ReceivedJob {
+            id: self.id,
+            from: self.server.sender(),
+            options: self.options,
+            age: self.received_at.elapsed(),
+            silence: self.server.silence(),
+            connected: self.server.connected_for(),
+        };
+        self.server.handler().on_received_job(&job, event);
+    }
+}
+
+impl<H> Drop for ReceivedJobGuard<H>
+where
+    H: PeerHandler,
+{
+    fn drop(&mut self) {
+        if !self.has_ended.get() {
+            self.report(ReceivedJobEvent::Dropped);
+        }
+    }
+}
