Tell late runs from reports that had waited

The line of a late run now has the target's clock in the report, and results after a confirmed stop are not logged. A run whose only start was refused has no unanswered request, also if a stop was sent meanwhile.

--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -9,7 +9,7 @@
     id::ZoneName,
     job_submission::{CallerJobId, JobSubmission, Refusal, RunNumber, Step, TaskId},
     shard::Shard,
-    target::{FencingToken, RunOutcome, TargetId, TargetIncarnation},
+    target::{FencingToken, RunOutcome, TargetId, TargetIncarnation, TargetTime},
 };
 use derive_more::Display;
 use std::time::Duration;
@@ -138,6 +138,8 @@
         target: TargetId,
         /// What the target reports of it.
         state: FoundRun,
+        /// Time on the target's clock when it reported that.
+        clock: TargetTime,
         /// Fencing token of this dispatcher.
         token: FencingToken,
         /// Incarnation of the target.
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -325,7 +325,7 @@
                 continue;
             }
             target.last_end_sequence = end.sequence;
-            self.log_unknown_end(id, end.task, end.run, end.outcome, now);
+            self.log_unknown_end(id, end, report.clock, now);
             self.close_run(end.task, end.run, id, end.outcome, now);
         }
     }
--- a/src/coordination/dispatch/run_log.rs
+++ b/src/coordination/dispatch/run_log.rs
@@ -4,8 +4,8 @@
 use crate::state::{
     job_submission::{RunNumber, TaskId},
     target::{
-        FencingToken, LossCause, Run, RunOutcome, RunState, StartAnswer, Target, TargetId,
-        TargetIncarnation, TargetReport, TargetTime,
+        EndedRun, FencingToken, LossCause, Run, RunOutcome, RunState, StartAnswer, Target,
+        TargetId, TargetIncarnation, TargetReport, TargetTime,
     },
     time::Moment,
 };
@@ -100,8 +100,11 @@
         }
     }
 
-    /// Whether the target may still have to carry out a start or stop request that was sent.
+    /// Whether a start or stop request was sent that the target may still carry out.
     pub fn has_unanswered_request(&self) -> bool {
+        if self.start_answer == StartAnswer::Refused && self.starts == 1 {
+            return false;
+        }
         let is_unanswered =
             matches!(self.start_answer, StartAnswer::Pending | StartAnswer::Unanswered);
         is_unanswered || self.starts > 1 || self.stops > 0 && !self.stop_confirmed
@@ -208,8 +211,7 @@
         let is_lost = matches!(outcome, RunOutcome::Lost(_));
         let is_unusual = is_lost
             || history.has_unanswered_request()
-            || history.start_answer == StartAnswer::NotSent
-            || history.stops > 1;
+            || history.start_answer == StartAnswer::NotSent;
         if outcome == RunOutcome::Lost(LossCause::Expired) {
             let counts = &mut self.counts.unusual_runs;
             counts.expired_silent += u64::from(history.unresponsive);
@@ -241,27 +243,31 @@
             let is_new = !logged.contains(&key) && self.targets[id].unknown_runs.contains(&key);
             if is_new {
                 let state = FoundRun::Running { percent: running.progress_percent };
-                self.log_unknown_run(id, running.task, running.run, state, now);
+                self.log_unknown_run(id, running.task, running.run, state, report.clock, now);
             }
         }
     }
 
     /// Logs the reported end of a run, if this dispatcher has no such run on the target and did not
-    /// see it running.
+    /// see it running. After a confirmed stop, a run that succeeded had ended before.
     pub(super) fn log_unknown_end(
         &mut self,
         id: &TargetId,
-        task: TaskId,
-        number: RunNumber,
-        outcome: RunOutcome,
+        end: &EndedRun,
+        clock: TargetTime,
         now: Moment,
     ) {
         let Some(target) = self.targets.get(id) else { return };
-        let is_known = target.runs.get(&task).is_some_and(|run| run.number == number);
-        let was_logged = target.unknown_runs.contains(&(task, number));
-        let has_result = matches!(outcome, RunOutcome::Done | RunOutcome::Failed);
-        if !is_known && !was_logged && has_result && target.taken_over {
-            self.log_unknown_run(id, task, number, FoundRun::Ended(outcome), now);
+        let (task, run) = (end.task, end.run);
+        let is_known = target.runs.get(&task).is_some_and(|known| known.number == run);
+        let was_logged = target.unknown_runs.contains(&(task, run));
+        let has_result = matches!(end.outcome, RunOutcome::Done | RunOutcome::Failed);
+        if is_known || was_logged || !has_result || !target.taken_over {
+            return;
+        }
+        let found = self.closed_runs.find(id, task, run);
+        if found.is_none_or(|(_, closed)| !closed.history.stop_confirmed) {
+            self.log_unknown_run(id, task, run, FoundRun::Ended(end.outcome), clock, now);
         }
     }
 
@@ -271,6 +277,7 @@
         task: TaskId,
         run: RunNumber,
         state: FoundRun,
+        clock: TargetTime,
         now: Moment,
     ) {
         let Some(target) = self.targets.get(id) else { return };
@@ -288,6 +295,7 @@
             run,
             target: id.clone(),
             state,
+            clock,
             token: self.fencing_token,
             incarnation: target.info.incarnation,
             owned: now - target.taken_over_at,
--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -141,6 +141,7 @@
             run,
             target,
             state,
+            clock,
             token,
             incarnation,
             owned,
@@ -155,7 +156,7 @@
                 |(ago, closed)| format!("closed {ago:?} before: {closed}"),
             );
             log::warn!(
-                "dispatch: run {run} of {task} on {target} found {state}, own_token={token} \
+                "dispatch: run {run} of {task} on {target} found {state} at clock={clock}, own_token={token} \
                  owned={owned:?} in={incarnation} lease_left_now={lease_left_ms}ms \
                  clock_lead_now={clock_lead_ms}ms elsewhere={elsewhere}, {closed}"
             );
