Estimate the clock of a target as slow as it may be

Cause: the end of a lease is a time on the target's clock, estimated from a reading and the time since. Of two readings the one with the later estimate was kept. The clock may be 2% slow; then the estimate from the older reading is always the later one, so that it was kept for good and ran ahead by 2% of its age. A start was accepted for 0.9 s plus that lead, while the dispatcher regarded its lease as over after 0.96 s and started the task elsewhere.

Ruled out as tests that missed it: fake targets had exact clocks and never refused a start as too late; both follow the contract now, and a stop voids later starts of its run.

Change: the estimate advances 2% slower than this VM's clock, so that it is a lower bound and the latest of two bounds is right. Leases are up to 6 ms shorter, with readings at least every 0.3 s.

--- a/src/coordination/dispatch/timing.rs
+++ b/src/coordination/dispatch/timing.rs
@@ -1,14 +1,12 @@
 //! Timeouts of a dispatcher, derived from the bounds that the platform declares.
 
 use crate::state::{
-    target::{Target, TargetTime},
+    target::{MAX_CLOCK_SLOWNESS_PERCENT, Target, TargetTime},
     time::Moment,
 };
 use derive_more::{Display, Error};
 use std::time::Duration;
 
-/// Most that a target's clock runs slow, in percent: a lease lasts that much longer here.
-const CLOCK_DRIFT_PERCENT: u32 = 2;
 /// Added to the duration of a lease on this VM's clock, for late timers.
 const LEASE_MARGIN: Duration = Duration::from_millis(40);
 /// Shortest lease that is kept alive: a renewal is sent every third of it, and may take 50 ms.
@@ -120,12 +118,12 @@
         // A run must have ended before its job may be submitted again, with a quarter to spare.
         let before_resubmission = (bounds.resubmit_delay * 3 / 4).saturating_sub(LEASE_MARGIN)
             * 100
-            / (100 + CLOCK_DRIFT_PERCENT);
+            / (100 + MAX_CLOCK_SLOWNESS_PERCENT);
         let lease = (bounds.max_lease * 9 / 10).min(before_resubmission).min(MAX_LEASE);
         let lease = Duration::from_millis(lease.as_millis() as u64);
         Timing {
             lease,
-            lease_bound: lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN,
+            lease_bound: lease + lease * MAX_CLOCK_SLOWNESS_PERCENT / 100 + LEASE_MARGIN,
             renewal_wait: lease / 3,
             stop: bounds.max_stop + STOP_MARGIN,
             restart_delay: bounds.max_stop + RESTART_MARGIN,
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -16,6 +16,9 @@
 /// so that the run's lease expires if no stop request arrives. Twice the usual request timeout.
 const STOP_CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Most that a target's clock runs slow, in percent.
+pub const MAX_CLOCK_SLOWNESS_PERCENT: u32 = 2;
+
 /// Share of a target's CPU that is usable when the target has just become cold.
 const MIN_COLD_SHARE: f64 = 0.25;
 
@@ -243,9 +246,22 @@
 
 impl ClockReading {
     /// Returns the earliest time that the target's clock can show at `now`: the delay of the answer
-    /// that contained the reading is unknown and taken as zero.
+    /// that contained the reading is taken as zero, and the clock as slow as it may be.
+    ///
+    /// ```
+    /// use cranberrytray::state::{
+    ///     target::{ClockReading, TargetTime},
+    ///     time::Moment,
+    /// };
+    /// use std::time::Duration;
+    ///
+    /// let reading = ClockReading { time: TargetTime(7_000), received_at: Moment::ZERO };
+    /// let later = Moment::new(Duration::from_secs(10));
+    /// assert_eq!(reading.earliest_at(later), TargetTime(16_800));
+    /// ```
     pub fn earliest_at(self, now: Moment) -> TargetTime {
-        self.time.saturating_add(now - self.received_at)
+        let elapsed = (now - self.received_at) * (100 - MAX_CLOCK_SLOWNESS_PERCENT) / 100;
+        self.time.saturating_add(elapsed)
     }
 }
 
--- a/tests/dispatch/fake_target.rs
+++ b/tests/dispatch/fake_target.rs
@@ -28,6 +28,8 @@
     LosesStopRequests,
     /// The first start request of each task is lost.
     LosesFirstStartRequests,
+    /// Start requests are not answered, and executed after this time. Stop requests are lost.
+    DelaysStarts(Duration),
     /// Start requests are executed; the first reply is lost, and the second request can't be sent.
     UnreachableAfterStart,
     /// Every twelfth reply to a lease renewal is lost.
@@ -85,6 +87,10 @@
     incarnation: TargetIncarnation,
     /// Time at which the target's clock shows zero.
     clock_start: Moment,
+    /// How much slower than usual the target's clock runs, in percent.
+    pub clock_slowness: u32,
+    /// Highest run of each task that was stopped or has ended; starts up to it are refused.
+    voided: IndexMap<TaskId, RunNumber>,
 }
 
 impl Default for FakeTarget {
@@ -112,6 +118,8 @@
             down_until: Moment::ZERO,
             incarnation: TargetIncarnation(1),
             clock_start: Moment::ZERO,
+            clock_slowness: 0,
+            voided: IndexMap::new(),
         }
     }
 }
@@ -138,6 +146,7 @@
             is_guarded: self.is_guarded,
             overcommitted_starts: self.overcommitted_starts,
             crash_count: self.crash_count,
+            clock_slowness: self.clock_slowness,
             ..FakeTarget::default()
         };
     }
@@ -155,12 +164,25 @@
     }
 
     pub fn clock(&self, now: Moment) -> TargetTime {
-        TargetTime((now - self.clock_start).as_millis() as u64)
+        let elapsed = (now - self.clock_start) * (100 - self.clock_slowness) / 100;
+        TargetTime(elapsed.as_millis() as u64)
+    }
+
+    /// Refuses starts of a task up to `run` from now on.
+    pub fn void(&mut self, task: TaskId, run: RunNumber) {
+        let voided = self.voided.entry(task).or_insert(run);
+        *voided = run.max(*voided);
+    }
+
+    /// Whether a run of the task with this or a higher number was stopped or has ended.
+    pub fn is_voided(&self, task: TaskId, run: RunNumber) -> bool {
+        self.voided.get(&task).is_some_and(|voided| run <= *voided)
     }
 
     /// Extends the lease of all runs to `end` on the target's clock, or as far as it is allowed.
     pub fn extend_lease(&mut self, end: TargetTime, max_lease: Duration, now: Moment) {
-        let end = (self.clock_start + ms(end.0)).min(now + max_lease);
+        let end = self.clock_start + ms(end.0) * 100 / (100 - self.clock_slowness);
+        let end = end.min(now + max_lease);
         self.lease_end = self.lease_end.max(end);
     }
 
@@ -194,6 +216,7 @@
         for task in ended {
             let run = self.runs.swap_remove(&task).unwrap();
             self.end_count += 1;
+            self.void(task, run.number);
             let done = run.ends_at.is_some_and(|end| end <= now);
             let outcome = if done { run.outcome } else { RunOutcome::Lost(LossCause::Reported) };
             self.ended.push(EndedRun { sequence: self.end_count, task, run: run.number, outcome });
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -7,6 +7,7 @@
 mod fake_target;
 mod faulty_targets;
 mod large_jobs;
+mod late_orders;
 mod load;
 mod look_ahead;
 mod malformed;
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -118,6 +118,8 @@
     pub crashing_tasks: IndexSet<TaskId>,
     /// Whether the test calls [`Simulation::tick`] itself.
     pub manual_ticks: bool,
+    /// Start requests that are executed later, with the moment.
+    late_starts: Vec<(Moment, RunRequest, Arc<str>, TargetTime)>,
 }
 
 /// Time from the start of a crashing task to the crash.
@@ -148,6 +150,7 @@
             bounds,
             crashing_tasks: IndexSet::new(),
             manual_ticks: false,
+            late_starts: Vec::new(),
         };
         for info in &sim.list {
             sim.targets.insert(info.id.clone(), FakeTarget::default());
@@ -245,6 +248,7 @@
         let end = self.now + duration;
         while self.now < end {
             self.now = self.now + ms(1);
+            self.execute_late_starts();
             self.advance_targets();
             if !self.manual_ticks && self.now.since_start().as_millis().is_multiple_of(25) {
                 self.tick();
@@ -360,60 +364,93 @@
         }
     }
 
-    fn start(&mut self, request: &RunRequest, spec: &str, lease_end: TargetTime) {
+    fn execute_late_starts(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.late_starts.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, request, spec, lease_end) in due {
+            self.execute_start(&request, &spec, lease_end);
+        }
+    }
+
+    fn start(&mut self, request: &RunRequest, spec: &Arc<str>, lease_end: TargetTime) {
         let now = self.now;
         let target = &mut self.targets[&request.target];
-        let clock = target.clock(now);
-        let used: u64 = target.runs.values().map(|run| run.cpu).sum();
         let reply = if target.is_unreachable(now) {
             StartReply::NotSent
+        } else if let Fault::DelaysStarts(delay) = target.fault {
+            self.late_starts.push((now + delay, request.clone(), Arc::clone(spec), lease_end));
+            StartReply::Unknown
         } else if target.fault == Fault::Unresponsive {
             StartReply::Unknown
-        } else if request.fencing_token < target.fencing_token {
-            StartReply::Refused(StartRefusal::Fenced, Some(clock))
         } else if target.fault == Fault::LosesFirstStartRequests
             && !target.lost_starts.contains(&request.task)
         {
             target.lost_starts.push(request.task);
             StartReply::Unknown
-        } else if target.runs.get(&request.task).is_some_and(|run| run.number == request.run) {
-            match target.fault {
+        } else {
+            self.execute_start(request, spec, lease_end)
+        };
+        self.dispatcher.on_start_reply(&request.target, request.task, request.run, reply, now);
+    }
+
+    /// Executes a start request and returns the reply as the dispatcher receives it.
+    fn execute_start(
+        &mut self,
+        request: &RunRequest,
+        spec: &str,
+        lease_end: TargetTime,
+    ) -> StartReply {
+        let now = self.now;
+        let target = &mut self.targets[&request.target];
+        let clock = target.clock(now);
+        let used: u64 = target.runs.values().map(|run| run.cpu).sum();
+        let refused = |refusal| StartReply::Refused(refusal, Some(clock));
+        if request.fencing_token < target.fencing_token {
+            return refused(StartRefusal::Fenced);
+        }
+        if target.runs.get(&request.task).is_some_and(|run| run.number == request.run) {
+            return match target.fault {
                 Fault::LosesStartReplies => StartReply::Unknown,
                 Fault::UnreachableAfterStart => StartReply::NotSent,
                 _ => StartReply::Started(clock),
-            }
-        } else if used + 14_000 > target.capacity && target.is_guarded {
-            StartReply::Refused(StartRefusal::InsufficientCapacity, Some(clock))
-        } else {
-            let duration = ms(spec.parse().unwrap()).div_f64(target.speed);
-            let (ends_at, outcome) = match target.fault {
-                Fault::HangsRuns => (None, RunOutcome::Done),
-                Fault::FailsRuns => (Some(now + ms(1)), RunOutcome::Failed),
-                _ => (Some(now + duration), RunOutcome::Done),
             };
-            let run = FakeRun {
-                number: request.run,
-                started_at: now,
-                duration,
-                ends_at,
-                outcome,
-                cpu: 14_000,
-            };
-            if self.crashing_tasks.contains(&request.task) {
-                target.crash_at = Some(now + TIME_TO_CRASH);
-            }
-            target.overcommitted_starts += u32::from(used + 14_000 > target.capacity);
-            target.runs.insert(request.task, run);
-            target.starts.push((request.task, now));
-            target.extend_lease(lease_end, self.bounds.max_lease, now);
-            match target.fault {
-                Fault::LosesStartReplies | Fault::LosesReplies | Fault::UnreachableAfterStart => {
-                    StartReply::Unknown
-                }
-                _ => StartReply::Started(clock),
-            }
+        }
+        if target.is_voided(request.task, request.run) {
+            return refused(StartRefusal::StaleRun);
+        }
+        if lease_end <= clock {
+            return refused(StartRefusal::LeaseExpired);
+        }
+        if used + 14_000 > target.capacity && target.is_guarded {
+            return refused(StartRefusal::InsufficientCapacity);
+        }
+        let duration = ms(spec.parse().unwrap()).div_f64(target.speed);
+        let (ends_at, outcome) = match target.fault {
+            Fault::HangsRuns => (None, RunOutcome::Done),
+            Fault::FailsRuns => (Some(now + ms(1)), RunOutcome::Failed),
+            _ => (Some(now + duration), RunOutcome::Done),
         };
-        self.dispatcher.on_start_reply(&request.target, request.task, request.run, reply, now);
+        let run = FakeRun {
+            number: request.run,
+            started_at: now,
+            duration,
+            ends_at,
+            outcome,
+            cpu: 14_000,
+        };
+        if self.crashing_tasks.contains(&request.task) {
+            target.crash_at = Some(now + TIME_TO_CRASH);
+        }
+        target.overcommitted_starts += u32::from(used + 14_000 > target.capacity);
+        target.runs.insert(request.task, run);
+        target.starts.push((request.task, now));
+        target.extend_lease(lease_end, self.bounds.max_lease, now);
+        match target.fault {
+            Fault::LosesStartReplies | Fault::LosesReplies | Fault::UnreachableAfterStart => {
+                StartReply::Unknown
+            }
+            _ => StartReply::Started(clock),
+        }
     }
 
     fn stop(&mut self, request: &RunRequest) {
@@ -422,12 +459,16 @@
         let reply = if target.is_unreachable(now)
             || matches!(
                 target.fault,
-                Fault::Unresponsive | Fault::LosesReplies | Fault::LosesStopRequests
+                Fault::Unresponsive
+                    | Fault::LosesReplies
+                    | Fault::LosesStopRequests
+                    | Fault::DelaysStarts(_)
             ) {
             StopReply::Unknown
         } else if request.fencing_token < target.fencing_token {
             StopReply::Fenced
         } else {
+            target.void(request.task, request.run);
             if let Some(run) =
                 target.runs.get_mut(&request.task).filter(|r| r.number == request.run)
                 && run.outcome != RunOutcome::Stopped
