Refuse a run request from a peer that may have given it up

What callers saw: a task ran twice at once, on targets of two zones, after an entry VM had lost its dispatcher and its caller had submitted the job again elsewhere.

Cause: the serving side of a connection between VMs submitted each run request to the core and checked the liveness of its sender beside it, in a select that polls its branches in random order. A request that was read more than 0.65 s after its sender was last proven alive reached the core in half of the cases, which started tasks before the check cancelled the job. The sender had closed the connection after 0.5 s without a reply, had answered 504, and the caller submits again 1.3 s later.

Change: a request on such a connection is refused before it reaches the handler. Since TCP keeps the order, the time for which the sender is not proven alive bounds the delay of the request.

--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -14,7 +14,7 @@
     },
     state::{
         id::{ConfigVersion, ZoneName},
-        job_submission::{JobSubmission, Outcome},
+        job_submission::{JobSubmission, Outcome, Refusal},
         shard::ShardCount,
         target::TargetId,
     },
@@ -42,6 +42,9 @@
 /// over a connection. It is longer than [`HEARTBEAT_TIMEOUT`] plus the heartbeat interval of
 /// connections that carry jobs, so that the connecting side closes the connection first.
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(650);
+/// Retry delay of a job that is refused because its sender may have given it up: a sender that is alive
+/// has proven it by then.
+const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Timeout for the reply to a request for a [`Snapshot`].
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -92,13 +95,19 @@
 }
 
 impl<H> PeerServer<H> {
+    /// Time for which the peer is not proven to have been alive. What it sent on this connection and
+    /// is received now was delayed by no longer than that.
+    fn unproven_for(&self) -> Duration {
+        self.connected_at.elapsed() - self.last_alive.get()
+    }
+
     async fn wait_until_unresponsive(&self) {
         loop {
-            let unresponsive_for = self.connected_at.elapsed() - self.last_alive.get();
-            if unresponsive_for >= UNRESPONSIVE_TIMEOUT {
+            let unproven_for = self.unproven_for();
+            if unproven_for >= UNRESPONSIVE_TIMEOUT {
                 return;
             }
-            sleep(UNRESPONSIVE_TIMEOUT - unresponsive_for).await;
+            sleep(UNRESPONSIVE_TIMEOUT - unproven_for).await;
         }
     }
 }
@@ -137,7 +146,15 @@
             shard_count: ShardCount::from_wire(params.get_shard_count()),
         };
         let job = read_job_submission(params.get_work()?)?;
+        if self.unproven_for() >= UNRESPONSIVE_TIMEOUT {
+            // The sender may have given this job up, and its caller may have submitted it elsewhere.
+            let refused =
+                Outcome::NotRun { refusal: Refusal::Closed, retry_after: STALE_RETRY_AFTER };
+            write_dispatch_reply(DispatchReply::Ended(refused), results.get());
+            return Ok(());
+        }
         let reply = tokio::select! {
+            biased;
             reply = self.handler.run(job, options) => reply,
             () = self.wait_until_unresponsive() => DispatchReply::Ended(Outcome::Unknown),
         };
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -2,32 +2,56 @@
 
 use cranberrytray::{
     coordination::dispatch::SpareCpu,
-    protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot, TargetList},
+    protocol::{
+        fleet::{
+            DispatchReply, Heartbeat, Peer, Snapshot, TargetList, read_dispatch_reply,
+            write_heartbeat, write_job_submission,
+        },
+        fleet_capnp::peer,
+    },
     state::{
         crash_history::{Loss, TaskLosses},
         evacuation::Evacuations,
         id::{ConfigVersion, Incarnation, ZoneName},
-        job_submission::{CallerJobId, JobSubmission, Outcome, TaskId},
+        job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, TaskId},
         shard::ShardCount,
         target::{TargetId, TargetIncarnation},
     },
-    transport::fleet::{DispatchOptions, PeerHandler, PeerLink, serve},
+    transport::{
+        fleet::{DispatchOptions, PeerHandler, PeerLink, serve},
+        rpc::connect,
+    },
+};
+use std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{
+    net::TcpListener,
+    task::{LocalSet, spawn_local},
+    time::sleep,
 };
-use std::{rc::Rc, time::Duration};
-use tokio::{net::TcpListener, task::LocalSet};
 
-/// A VM that only sends a fixed heartbeat.
-struct Sender(Heartbeat);
+/// A VM that sends a fixed heartbeat and completes all jobs at once.
+struct Sender {
+    heartbeat: Heartbeat,
+    /// Times to the deadline of the jobs that were submitted.
+    submitted: RefCell<Vec<Duration>>,
+}
+
+impl Sender {
+    fn new(heartbeat: Heartbeat) -> Rc<Self> {
+        Rc::new(Sender { heartbeat, submitted: RefCell::default() })
+    }
+}
 
 impl PeerHandler for Sender {
     fn heartbeat(&self) -> Heartbeat {
-        self.0.clone()
+        self.heartbeat.clone()
     }
 
     fn on_heartbeat(self: &Rc<Self>, _: Heartbeat) {}
 
-    async fn run(self: &Rc<Self>, _: JobSubmission, _: DispatchOptions) -> DispatchReply {
-        DispatchReply::Ended(Outcome::Unknown)
+    async fn run(self: &Rc<Self>, job: JobSubmission, _: DispatchOptions) -> DispatchReply {
+        self.submitted.borrow_mut().push(job.time_to_deadline);
+        DispatchReply::Ended(Outcome::Completed)
     }
 
     fn take_over(self: &Rc<Self>, _: u64, _: Vec<TargetId>) -> bool {
@@ -44,7 +68,7 @@
             config: Vec::new(),
             peers: Vec::new(),
             targets: Vec::new(),
-            evacuations: self.0.evacuations.clone(),
+            evacuations: self.heartbeat.evacuations.clone(),
         }
     }
 }
@@ -77,20 +101,81 @@
     }
 }
 
-/// Connects to a VM that sends `heartbeat`, and returns what it sends in a heartbeat and in a
-/// snapshot.
-fn receive(heartbeat: Heartbeat) -> (Option<Heartbeat>, Snapshot) {
-    let sender = Rc::new(Sender(heartbeat));
+/// Calls `f` with a VM that sends `heartbeat` and serves at the address.
+fn serve_during<F, Fut, R>(heartbeat: Heartbeat, f: F) -> R
+where
+    F: FnOnce(Rc<Sender>, SocketAddr) -> Fut,
+    Fut: Future<Output = R>,
+{
+    let sender = Sender::new(heartbeat);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        tokio::task::spawn_local(serve(listener, Rc::clone(&sender)));
+        spawn_local(serve(listener, Rc::clone(&sender)));
+        f(sender, address).await
+    })
+}
+
+/// Connects to a VM that sends `heartbeat`, and returns what it sends in a heartbeat and in a
+/// snapshot.
+fn receive(heartbeat: Heartbeat) -> (Option<Heartbeat>, Snapshot) {
+    serve_during(heartbeat, |sender, address| async move {
         let link = PeerLink::connect(&sender, address, Duration::from_secs(1)).await.unwrap();
         (link.last_heartbeat(), link.snapshot(None).await.unwrap())
     })
 }
 
+/// Sends a heartbeat that echoes a token, and returns the token of the reply.
+async fn beat(client: &peer::Client, echo: u64) -> u64 {
+    let mut req = client.beat_request();
+    req.get().set_echo(echo);
+    write_heartbeat(&heartbeat(Vec::new()), req.get().init_beat());
+    req.send().promise.await.unwrap().get().unwrap().get_token()
+}
+
+/// Submits a job whose caller waits for 1.5 s.
+async fn run(client: &peer::Client) -> DispatchReply {
+    let job = JobSubmission {
+        id: CallerJobId(7),
+        queue: "queue".into(),
+        spec: "".into(),
+        steps: Vec::new(),
+        time_to_deadline: Duration::from_millis(1_500),
+    };
+    let mut req = client.run_request();
+    write_job_submission(&job, req.get().init_work());
+    let res = req.send().promise.await.unwrap();
+    read_dispatch_reply(res.get().unwrap()).unwrap()
+}
+
+/// Guards against tasks that run twice: the network delays a submission and the heartbeats before it,
+/// the sender gives the connection up, and its caller submits the job elsewhere.
+#[test]
+fn run_of_unresponsive_sender_is_not_submitted() {
+    serve_during(heartbeat(Vec::new()), |receiver, address| async move {
+        let client: peer::Client = connect(address).await.unwrap();
+        let token = beat(&client, 0).await;
+        assert_eq!(run(&client).await, DispatchReply::Ended(Outcome::Completed));
+        sleep(Duration::from_millis(700)).await;
+        let mut refused = 0;
+        for n in 0..100 {
+            // A delayed heartbeat does not prove that its sender is still alive.
+            if n % 2 == 1 {
+                beat(&client, token).await;
+            }
+            if let DispatchReply::Ended(Outcome::NotRun { refusal, .. }) = run(&client).await {
+                refused += u32::from(refusal == Refusal::Closed);
+            }
+        }
+        let submitted = receiver.submitted.borrow().len() - 1;
+        assert_eq!((submitted, refused), (0, 100), "submitted and refused, of 100");
+        let token = beat(&client, token).await;
+        beat(&client, token).await;
+        assert_eq!(run(&client).await, DispatchReply::Ended(Outcome::Completed));
+    });
+}
+
 /// Guards against a VM that starts while the store is unavailable and learns the configuration from
 /// a peer, but not which zones are evacuated.
 #[test]
