End leases before the caller of a lost entry VM submits again

Cause: three delays add up. A dispatcher notices after 0.65 s that an entry VM is silent; a stop that is not answered leaves the run to its lease; and that lease was renewed for 0.96 s until then. The caller of the lost VM submits its job again after 1.3 s, through any zone. The lease alone was derived from that bound, not the sum.

Evidence: the new test has a run whose stops are lost, in 32 phases of the renewals and from 4 moments on.

Change: a submitter is a connection of a peer; heartbeats that echo a token prove until when it was alive. No lease that is granted for its runs lasts longer than that moment plus the resubmission delay, also after its jobs are cancelled, and nothing is started for a submitter of which less than two shortest leases are left. While heartbeats arrive, leases are as long as before; they become shorter from a silence of 0.34 s on.

Ruled out: shorter leases for all, which double the renewals, and a shorter timeout, which ends the jobs of VMs that are slow for a moment.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -143,9 +143,15 @@
         }
         self.deferred.retain(|deferred| !deferred.keys.is_empty());
         let has_key = |(_, job): &(&SubmissionKey, &mut Job)| job.submissions.contains(&key);
-        let Some((&first, job)) = self.jobs.iter_mut().find(has_key) else { return };
+        let Some((&first, _)) = self.jobs.iter_mut().find(has_key) else {
+            return self.submitters.remove(key);
+        };
+        let end_by = self.runs_end_by(first);
+        self.submitters.remove(key);
+        let Some(job) = self.jobs.get_mut(&first) else { return };
         job.submissions.retain(|other| *other != key);
         if job.submissions.is_empty() {
+            job.runs_end_by = end_by;
             self.abandon_job(first, "its caller no longer waits");
             self.start_waiting_tasks(now);
         }
@@ -265,6 +271,7 @@
             may_redirect: false,
             deferred: false,
             log_run_time_ratio: None,
+            runs_end_by: None,
             submission,
         };
         job.enqueue_ready_steps();
@@ -363,6 +370,7 @@
         self.counts.redirected += 1;
         self.log(LogEvent::Redirected { id, shard: shard.clone(), local_spare, remote_spare, age });
         let redirect = |&key: &SubmissionKey| Action::Redirect { key, shard: shard.clone(), to };
+        keys.iter().for_each(|&key| self.submitters.remove(key));
         self.actions.extend(keys.iter().map(redirect));
     }
 
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -81,6 +81,8 @@
     pub deferred: bool,
     /// Logarithm of [`Job::run_time_ratio`]; `None` before the first observation.
     pub log_run_time_ratio: Option<f64>,
+    /// When its runs must have ended, once no submission of it is left.
+    pub runs_end_by: Option<Moment>,
 }
 
 impl Job {
@@ -228,6 +230,7 @@
     pub(super) fn finish_job(&mut self, key: SubmissionKey, outcome: Outcome) {
         let Some(rank) = self.rank(key) else { return };
         self.queued_jobs.remove(&rank);
+        let end_by = self.runs_end_by(key);
         let Some(job) = self.jobs.swap_remove(&key) else { return };
         let now = self.last_call_at;
         if outcome == Outcome::Completed {
@@ -253,12 +256,13 @@
         let runs: Vec<_> =
             unfinished.filter_map(|(id, t)| Some((*id, t.target.clone()?))).collect();
         for (task, target) in runs {
-            self.orphan_run(task, &target);
+            self.orphan_run(task, &target, end_by);
         }
     }
 
     /// Answers all submissions of a job id.
     pub(super) fn answer(&mut self, keys: &[SubmissionKey], id: CallerJobId, outcome: Outcome) {
+        keys.iter().for_each(|&key| self.submitters.remove(key));
         self.actions.extend(keys.iter().map(|&key| Action::Answer { key, id, outcome }));
     }
 
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -25,6 +25,7 @@
 pub mod runs;
 mod size_forecast;
 mod size_match;
+pub mod submitters;
 mod task_sizes;
 pub mod timing;
 mod wide_job;
@@ -50,6 +51,7 @@
 pub use log_event::{JobLabel, LogEvent, Outlook};
 use ownership::TargetListStatus;
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use submitters::Submitters;
 use task_sizes::TaskSizes;
 use timing::Timing;
 
@@ -227,6 +229,7 @@
     orphaned_runs: IndexMap<CallerJobId, u32>,
     /// Submissions that wait until earlier runs of their tasks are closed.
     deferred: Vec<DeferredSubmission>,
+    submitters: Submitters,
     remote_shards: IndexMap<Shard, RemoteShard>,
     evacuations: Evacuations,
     /// Targets that were lost under tasks.
@@ -279,6 +282,7 @@
             queued_jobs: BTreeSet::new(),
             orphaned_runs: IndexMap::new(),
             deferred: Vec::new(),
+            submitters: Submitters::default(),
             remote_shards: IndexMap::new(),
             evacuations: Evacuations::default(),
             crash_history: CrashHistory::default(),
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -145,8 +145,10 @@
         let requests_progress = self.enables(Mechanism::EarlyProgress);
         let timeout = self.rtt.timeout() + RENEWAL_TIMEOUT_MARGIN;
         let renewal_wait = self.timing.renewal_wait;
+        let end_by = self.leases_end_by(id);
         let target = self.targets.get_mut(id)?;
-        let lease = if target.taken_over { self.timing.new_lease(target, now) } else { None };
+        let lease =
+            if target.taken_over { self.timing.new_lease(target, end_by, now) } else { None };
         target.pending_lease_end = lease.map(|lease| lease.latest_end);
         let stopping = target.runs.values().any(|r| matches!(r.state, RunState::Stopping { .. }));
         let progress_unknown = target.runs.values().any(|r| {
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Action, Dispatcher, SubmissionKey, forecast::OVERDUE_EXTENSION, job::Job,
-    reservation::PassPlan, size_match::run_time_class,
+    replies::FULL_TARGET_PAUSE, reservation::PassPlan, size_match::run_time_class,
 };
 use crate::state::{
     fleet_config::QueueName,
@@ -117,6 +117,9 @@
     fn start_tasks_of(&mut self, key: SubmissionKey, plan: &mut PassPlan, now: Moment) -> bool {
         loop {
             let Some(job) = self.jobs.get(&key) else { return true };
+            if self.has_silent_submitter(key, now) {
+                break;
+            }
             // Suspects that have to wait block neither their job nor others.
             let startable = job.waiting_tasks.iter().position(|task| self.may_start(*task, now));
             let Some(position) = startable else { break };
@@ -314,9 +317,11 @@
         now: Moment,
     ) {
         let old_rank = self.rank(key);
+        let end_by = self.runs_end_by(key).into_iter().chain(self.leases_end_by(&best.id)).min();
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let Some(target) = self.targets.get_mut(&best.id) else { return };
-        let Some(lease) = self.timing.new_lease(target, now) else {
+        let Some(lease) = self.timing.new_lease(target, end_by, now) else {
+            target.no_starts_until = now + FULL_TARGET_PAUSE;
             job.waiting_tasks.push_front(task);
             return;
         };
@@ -340,6 +345,7 @@
             progress_percent: 0,
             min_projected_duration: None,
             slow: false,
+            must_end_by: None,
         };
         target.add_run(task, run);
         let spec = job.submission.spec.clone();
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -11,8 +11,9 @@
 };
 use std::time::Duration;
 
-/// Time for which no task is started on a target after it refused one for lack of capacity.
-const FULL_TARGET_PAUSE: Duration = Duration::from_millis(25);
+/// Time for which no task is started on a target after it refused one for lack of capacity, or
+/// while its leases may not be prolonged.
+pub(super) const FULL_TARGET_PAUSE: Duration = Duration::from_millis(25);
 /// Number of start requests sent for a run before it is stopped because none was answered.
 const MAX_START_ATTEMPTS: u32 = 2;
 /// Number of consecutive unanswered lease renewals after which a target is unresponsive.
@@ -164,6 +165,7 @@
     fn on_unanswered_start(&mut self, id: &TargetId, task: TaskId, now: Moment) {
         let repeats_starts =
             self.enables(Mechanism::RepeatedStarts) && self.permits_repeated_start(id, task, now);
+        let end_by = self.leases_end_by(id);
         let Some(target) = self.targets.get_mut(id) else { return };
         let is_unresponsive = target.unresponsive_since.is_some();
         let Some(run) = target.runs.get_mut(&task) else { return };
@@ -173,7 +175,7 @@
             && !is_unresponsive;
         let job = run.job.and_then(|key| self.jobs.get(&SubmissionKey(key)));
         let spec = job.filter(|_| may_resend).map(|job| job.submission.spec.clone());
-        let lease = self.timing.new_lease(target, now);
+        let lease = self.timing.new_lease(target, end_by, now);
         let (Some(spec), Some(lease)) = (spec, lease) else {
             self.record_fault(id, now);
             self.stop_run(task, id, now);
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -25,13 +25,14 @@
 /// Relative error of a run time projected from progress: half a percent at 10% progress.
 const PROGRESS_ERROR: f64 = 0.05;
 impl Dispatcher {
-    /// Stops a run whose job was removed.
-    pub(super) fn orphan_run(&mut self, task: TaskId, target: &TargetId) {
+    /// Stops a run whose job was removed, and which must have ended by `end_by`.
+    pub(super) fn orphan_run(&mut self, task: TaskId, target: &TargetId, end_by: Option<Moment>) {
         let now = self.last_call_at;
         let Some(run) = self.targets.get_mut(target).and_then(|t| t.runs.get_mut(&task)) else {
             return;
         };
         run.job = None;
+        run.must_end_by = end_by;
         *self.orphaned_runs.entry(task.job).or_default() += 1;
         self.stop_run(task, target, now);
     }
--- /dev/null
+++ b/src/coordination/dispatch/submitters.rs
@@ -0,0 +1,94 @@
+//! Entry VMs that submit jobs for their callers, and how long leases may last because of them.
+//!
+//! When an entry VM is lost, its callers submit their jobs again, perhaps in another zone. The runs
+//! here must have ended by then, although this dispatcher learns of the loss only by silence and a
+//! target may not answer the request to stop them. So no lease lasts longer than the VM is sure to
+//! have been there, plus the time after which callers submit again.
+
+use super::{Dispatcher, SubmissionKey, timing::MIN_LEASE};
+use crate::state::{
+    job_submission::JobSubmission,
+    target::{Run, TargetId},
+    time::Moment,
+};
+use derive_more::{Display, From};
+use indexmap::IndexMap;
+
+/// An entry VM that submits jobs over a connection; another connection of the same VM counts as another
+/// submitter.
+#[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, Hash)]
+pub struct SubmitterId(pub u64);
+
+/// The submitters of open jobs. Jobs of this VM's own callers have none.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Submitters {
+    by_submission: IndexMap<SubmissionKey, SubmitterId>,
+    last_alive: IndexMap<SubmitterId, Moment>,
+}
+
+impl Submitters {
+    /// Forgets a submission that is answered or cancelled.
+    pub fn remove(&mut self, key: SubmissionKey) {
+        self.by_submission.swap_remove(&key);
+    }
+
+    /// When the submitter was last known to be alive, the earliest one if there are several.
+    fn last_alive(&self, keys: &[SubmissionKey]) -> Option<Moment> {
+        let submitters = keys.iter().filter_map(|key| self.by_submission.get(key));
+        submitters.filter_map(|submitter| self.last_alive.get(submitter)).min().copied()
+    }
+}
+
+impl Dispatcher {
+    /// As [`Dispatcher::submit`], for a job that another VM submits. That VM was alive at
+    /// `last_alive` at the latest.
+    pub fn submit_for(
+        &mut self,
+        submitter: SubmitterId,
+        last_alive: Moment,
+        submission: JobSubmission,
+        may_redirect: bool,
+        resumed: bool,
+        now: Moment,
+    ) -> SubmissionKey {
+        self.set_submitter_alive(submitter, last_alive);
+        let key = SubmissionKey(self.last_submission_key + 1);
+        self.submitters.by_submission.insert(key, submitter);
+        self.submit(submission, may_redirect, resumed, now)
+    }
+
+    /// Records that a submitter was alive at `at`, unless a later moment is known.
+    pub fn set_submitter_alive(&mut self, submitter: SubmitterId, at: Moment) {
+        let last_alive = self.submitters.last_alive.entry(submitter).or_insert(at);
+        *last_alive = at.max(*last_alive);
+    }
+
+    /// Forgets a submitter whose connection has ended.
+    pub fn remove_submitter(&mut self, submitter: SubmitterId) {
+        self.submitters.last_alive.swap_remove(&submitter);
+        self.submitters.by_submission.retain(|_, other| *other != submitter);
+    }
+
+    /// When the runs of a job must have ended, in case its submitter is lost; `None` if this VM's own
+    /// callers wait for it.
+    pub(super) fn runs_end_by(&self, key: SubmissionKey) -> Option<Moment> {
+        let job = self.jobs.get(&key)?;
+        let last_alive = self.submitters.last_alive(&job.submissions);
+        job.runs_end_by.or(last_alive.map(|at| at + self.timing.resubmit_delay))
+    }
+
+    /// When the leases of a target's runs must have ended, in case a submitter is lost.
+    pub(super) fn leases_end_by(&self, id: &TargetId) -> Option<Moment> {
+        let target = self.targets.get(id)?;
+        let end_by = |run: &Run| {
+            let of_job = run.job.and_then(|key| self.runs_end_by(SubmissionKey(key)));
+            of_job.or(run.must_end_by)
+        };
+        target.runs.values().filter_map(end_by).min()
+    }
+
+    /// Whether so little is known of a job's submitter that no run of it can be started.
+    pub(super) fn has_silent_submitter(&self, key: SubmissionKey, now: Moment) -> bool {
+        self.runs_end_by(key).is_some_and(|end| end < now + MIN_LEASE * 2)
+    }
+}
--- a/src/coordination/dispatch/timing.rs
+++ b/src/coordination/dispatch/timing.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 /// Added to the duration of a lease on this VM's clock, for late timers.
-const LEASE_MARGIN: Duration = Duration::from_millis(40);
+pub(super) const LEASE_MARGIN: Duration = Duration::from_millis(40);
 /// Shortest lease that is kept alive: a renewal is sent every third of it, and may take 50 ms.
-const MIN_LEASE: Duration = Duration::from_millis(150);
+pub(super) const MIN_LEASE: Duration = Duration::from_millis(150);
 /// Longest lease that is requested; a longer one only makes takeovers slower.
 const MAX_LEASE: Duration = Duration::from_millis(900);
 /// Added to the longest duration of a stop, for the target's clock and the round trip.
@@ -100,6 +100,8 @@
     pub stop: Duration,
     /// Assumed time from the decision to stop a run to the start of the next run of its task.
     pub restart_delay: Duration,
+    /// As [`RunBounds::resubmit_delay`].
+    pub resubmit_delay: Duration,
     /// Longest gap between two calls before the process counts as suspended; after a longer one,
     /// leases may have expired.
     pub suspension_threshold: Duration,
@@ -127,20 +129,32 @@
             renewal_wait: lease / 3,
             stop: bounds.max_stop + STOP_MARGIN,
             restart_delay: bounds.max_stop + RESTART_MARGIN,
+            resubmit_delay: bounds.resubmit_delay,
             suspension_threshold: lease * 13 / 18,
             off_rack_factor: bounds.off_rack_factor,
         }
     }
 
-    /// Returns a lease for a target's runs. Returns `None` while the target's clock is unknown or a
-    /// stop is unconfirmed, so that the run to be stopped ends with its lease.
-    pub(super) fn new_lease(&self, target: &Target, now: Moment) -> Option<Lease> {
+    /// Returns a lease for a target's runs, which must have ended by `end_by`. Returns `None` if too
+    /// little time is left, while the target's clock is unknown, and while a stop is unconfirmed, so
+    /// that the run to be stopped ends with its lease.
+    pub(super) fn new_lease(
+        &self,
+        target: &Target,
+        end_by: Option<Moment>,
+        now: Moment,
+    ) -> Option<Lease> {
         let clock = target.clock?;
         if target.has_unconfirmed_stop(now) {
             return None;
         }
-        let end = clock.earliest_at(now).saturating_add(self.lease);
-        Some(Lease { end, latest_end: now + self.lease_bound })
+        let left = end_by.map_or(self.lease_bound, |end_by| end_by - now).min(self.lease_bound);
+        let lease = left.saturating_sub(LEASE_MARGIN) * 100 / (100 + MAX_CLOCK_SLOWNESS_PERCENT);
+        if lease < MIN_LEASE {
+            return None;
+        }
+        let end = clock.earliest_at(now).saturating_add(lease);
+        Some(Lease { end, latest_end: now + left })
     }
 }
 
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -18,7 +18,7 @@
         target::{FencingToken, TargetId, TargetTime},
         time::Moment,
     },
-    transport::fleet::DispatchOptions,
+    transport::fleet::{DispatchOptions, Submitter},
 };
 use indexmap::{IndexMap, IndexSet};
 use std::{
@@ -404,12 +404,13 @@
         })
     }
 
-    /// Submits a job to this VM's core and waits for its outcome. Dropping the future cancels the
-    /// job.
+    /// Submits a job to this VM's core, for a peer or for a caller of this VM, and waits for its outcome.
+    /// Dropping the future cancels the job.
     pub(super) async fn run_locally(
         self: &Rc<Self>,
         submission: JobSubmission,
         options: DispatchOptions,
+        submitter: Option<Submitter>,
     ) -> DispatchReply {
         let closed =
             Outcome::NotRun { refusal: Refusal::Closed, retry_after: Duration::from_millis(500) };
@@ -421,8 +422,13 @@
         if resumed && !self.has_earlier_targets(&submission, options) {
             return DispatchReply::Ended(Outcome::Unknown);
         }
-        let submitted =
-            self.call_core(epoch, |core, now| core.submit(submission, may_redirect, resumed, now));
+        let submitted = self.call_core(epoch, |core, now| match submitter {
+            Some(Submitter { id, silent_for }) => {
+                let last_alive = now - silent_for;
+                core.submit_for(id, last_alive, submission, may_redirect, resumed, now)
+            }
+            None => core.submit(submission, may_redirect, resumed, now),
+        });
         // A task may have been started before the panic.
         let Some((key, actions)) = submitted else { return DispatchReply::Ended(Outcome::Unknown) };
         if let Some(d) = &mut *self.dispatcher.borrow_mut() {
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -203,7 +203,7 @@
             return Ok(DispatchReply::Ended(Outcome::Unknown));
         }
         if self.dispatches_job(submission.id) {
-            return Ok(self.run_locally(submission.clone(), options).await);
+            return Ok(self.run_locally(submission.clone(), options, None).await);
         }
         if let Some(link) = self.link_for(submission.id).get() {
             return link.run(submission, options).await;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -20,6 +20,7 @@
             Counts, RunRequest, SpareCpu,
             ownership::LeaseRenewal,
             replies::{LeaseRenewalError, StartReply, StopReply},
+            submitters::SubmitterId,
             timing::Timing,
         },
         election::is_standby,
@@ -36,7 +37,7 @@
         target::{TargetId, TargetInfo, TargetReport, TargetTime},
         time::Moment,
     },
-    transport::fleet::{DispatchOptions, PeerHandler, PeerLink},
+    transport::fleet::{DispatchOptions, PeerHandler, PeerLink, Submitter},
 };
 use clock::Clock;
 use decision_log::DecisionLog;
@@ -433,12 +434,21 @@
         }
     }
 
+    fn on_peer_alive(self: &Rc<Self>, submitter: Submitter) {
+        self.drive(|core, now| core.set_submitter_alive(submitter.id, now - submitter.silent_for));
+    }
+
+    fn on_peer_gone(self: &Rc<Self>, submitter: SubmitterId) {
+        self.drive(|core, _| core.remove_submitter(submitter));
+    }
+
     async fn run(
         self: &Rc<Self>,
         submission: JobSubmission,
         options: DispatchOptions,
+        submitter: Submitter,
     ) -> DispatchReply {
-        self.run_locally(submission, options).await
+        self.run_locally(submission, options, Some(submitter)).await
     }
 
     fn take_over(self: &Rc<Self>, epoch: u64, kept: Vec<TargetId>) -> bool {
--- a/src/fleet/shards.rs
+++ b/src/fleet/shards.rs
@@ -8,7 +8,6 @@
         mechanism::Mechanism,
         shard::{Shard, ShardCount},
         target::TargetInfo,
-        time::Moment,
     },
     transport::fleet::PeerLink,
 };
@@ -258,8 +257,7 @@
                 let known = self.known_targets.borrow();
                 let changed = !known.listed().eq(targets.iter());
                 drop(known);
-                let now = self.clock.now().since_start();
-                let read_at = Moment::new(now.saturating_sub(list.age));
+                let read_at = self.clock.now() - list.age;
                 self.on_targets_read_at(changed.then_some(targets), read_at);
                 true
             }
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -233,6 +233,9 @@
     pub min_projected_duration: Option<Duration>,
     /// Whether its progress showed that its target is slow.
     pub slow: bool,
+    /// When the run must have ended although no job waits for it any more, as its caller may submit
+    /// the job again elsewhere.
+    pub must_end_by: Option<Moment>,
 }
 
 /// A reading of a target's clock.
--- a/src/state/time.rs
+++ b/src/state/time.rs
@@ -63,6 +63,15 @@
     }
 }
 
+impl Sub<Duration> for Moment {
+    type Output = Moment;
+
+    /// The moment `duration` earlier; [`Moment::ZERO`] if that is before the start of the process.
+    fn sub(self, duration: Duration) -> Moment {
+        Moment(self.0.saturating_sub(duration))
+    }
+}
+
 impl Sub for Moment {
     type Output = Duration;
 
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -6,6 +6,7 @@
 
 use super::rpc::{RpcError, connect_with_timeouts, serve_with};
 use crate::{
+    coordination::dispatch::submitters::SubmitterId,
     fleet_capnp::peer,
     protocol::fleet::{
         DispatchReply, Heartbeat, Snapshot, TargetList, read_dispatch_reply, read_evacuations,
@@ -69,17 +70,31 @@
     pub shard_count: ShardCount,
 }
 
+/// A peer that submits jobs over a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Submitter {
+    /// Identifies the connection.
+    pub id: SubmitterId,
+    /// Time for which the peer is not proven to have been alive.
+    pub silent_for: Duration,
+}
+
 /// Handles the calls of peers to this VM.
 pub trait PeerHandler: 'static {
     /// Returns the heartbeat that reports the present state of this VM.
     fn heartbeat(&self) -> Heartbeat;
     /// Processes a heartbeat received from a peer.
     fn on_heartbeat(self: &Rc<Self>, heartbeat: Heartbeat);
+    /// Handles the proof that a peer was alive. Does nothing by default.
+    fn on_peer_alive(self: &Rc<Self>, _submitter: Submitter) {}
+    /// Handles the end of the connection of a peer. Does nothing by default.
+    fn on_peer_gone(self: &Rc<Self>, _submitter: SubmitterId) {}
     /// Runs a job until it ends. Dropping the future cancels the job.
     fn run(
         self: &Rc<Self>,
         job: JobSubmission,
         options: DispatchOptions,
+        submitter: Submitter,
     ) -> impl Future<Output = DispatchReply>;
     /// Takes over all targets except `kept` from the dispatcher with this epoch; returns false if
     /// this VM declines.
@@ -90,14 +105,34 @@
     fn target_list(&self) -> Option<TargetList>;
 }
 
-struct PeerServer<H> {
+struct PeerServer<H>
+where
+    H: PeerHandler,
+{
     handler: Rc<H>,
+    id: SubmitterId,
     connected_at: Instant,
     /// Time from `connected_at` to the latest moment at which the peer was provably alive.
     last_alive: Cell<Duration>,
 }
 
-impl<H> PeerServer<H> {
+impl<H> Drop for PeerServer<H>
+where
+    H: PeerHandler,
+{
+    fn drop(&mut self) {
+        self.handler.on_peer_gone(self.id);
+    }
+}
+
+impl<H> PeerServer<H>
+where
+    H: PeerHandler,
+{
+    fn submitter(&self) -> Submitter {
+        Submitter { id: self.id, silent_for: self.unproven_for() }
+    }
+
     /// Time for which the peer is not proven to have been alive. What it sent on this connection and
     /// is received now was delayed by no longer than that.
     fn unproven_for(&self) -> Duration {
@@ -130,6 +165,7 @@
         let params = params.get()?;
         let alive_at = Duration::from_millis(params.get_echo());
         self.last_alive.set(self.last_alive.get().max(alive_at.min(self.connected_at.elapsed())));
+        self.handler.on_peer_alive(self.submitter());
         self.handler.on_heartbeat(read_heartbeat(params.get_beat()?)?);
         let mut results = results.get();
         results.set_token(self.connected_at.elapsed().as_millis() as u64);
@@ -161,7 +197,7 @@
         job.time_to_deadline = job.time_to_deadline.saturating_sub(delay);
         let reply = tokio::select! {
             biased;
-            reply = self.handler.run(job, options) => reply,
+            reply = self.handler.run(job, options, self.submitter()) => reply,
             () = self.wait_until_unresponsive() => DispatchReply::Ended(Outcome::Unknown),
         };
         write_dispatch_reply(reply, results.get());
@@ -224,10 +260,13 @@
 where
     H: PeerHandler,
 {
+    let connections = Cell::new(0);
     let make = || -> peer::Client {
         let handler = Rc::clone(&handler);
+        connections.set(connections.get() + 1);
         capnp_rpc::new_client(PeerServer {
             handler,
+            id: SubmitterId(connections.get()),
             connected_at: Instant::now(),
             last_alive: Cell::default(),
         })
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -1,6 +1,36 @@
-//! Start requests that targets execute long after they were sent.
+//! Orders that targets execute long after they were sent, or never: what is started must have ended
+//! before the caller submits its job again elsewhere.
 
 use crate::simulation::{Fault, LONG, Simulation, ms, submission};
+use cranberrytray::{
+    coordination::dispatch::{SubmissionKey, submitters::SubmitterId},
+    state::job_submission::Outcome,
+};
+use std::time::Duration;
+
+const SUBMITTER: SubmitterId = SubmitterId(1);
+
+/// Submits a job for another VM, which was alive `silence` ago.
+fn submit_for(
+    sim: &mut Simulation,
+    id: u64,
+    run_time: Duration,
+    silence: Duration,
+) -> SubmissionKey {
+    let (job, now) = (submission(id, LONG, 1, run_time), sim.now);
+    let key = sim.dispatcher.submit_for(SUBMITTER, now - silence, job, false, false, now);
+    sim.process_actions();
+    key
+}
+
+/// Advances the time while heartbeats show that the submitter is alive.
+fn run_with_heartbeats(sim: &mut Simulation, span: Duration) {
+    let end = sim.now + span;
+    while sim.now < end {
+        sim.dispatcher.set_submitter_alive(SUBMITTER, sim.now);
+        sim.run(ms(120).min(end - sim.now));
+    }
+}
 
 /// Guards against two runs of a task at once: the estimate of a slow target clock ran ahead, so that the
 /// target accepted a start after its lease was over for the dispatcher, which had repeated the task.
@@ -21,3 +51,62 @@
         }
     }
 }
+
+/// Guards against two runs of a task at once: the silence after which an entry VM counts as lost and the
+/// lease of a run whose stop is not answered took longer than its caller waits to submit again.
+#[test]
+fn run_of_lost_submitter_ends_before_its_job_is_submitted_again() {
+    for phase in (0..320).step_by(10) {
+        for lost_from in [0, 100, 300, 600] {
+            let mut sim = Simulation::new(1).take_over();
+            sim.run(ms(phase));
+            let lost_at = sim.now;
+            let key = submit_for(&mut sim, 1, ms(1_400), ms(0));
+            sim.run(ms(lost_from));
+            sim.target(0).fault = Fault::LosesStopRequests;
+            // The transport cancels the jobs of a peer after 0.65 s of silence.
+            sim.run(ms(650 - lost_from));
+            sim.dispatcher.cancel(key, sim.now);
+            sim.process_actions();
+            sim.run(lost_at + ms(1_300) - sim.now);
+            assert_eq!(
+                sim.target(0).running(),
+                0,
+                "phase {phase} ms, stops lost from {lost_from} ms"
+            );
+        }
+    }
+}
+
+/// Guards against starts for an entry VM that was silent for so long that its caller may be about to
+/// submit again.
+#[test]
+fn submission_of_silent_vm_starts_nothing() {
+    let mut sim = Simulation::new(2).take_over();
+    submit_for(&mut sim, 1, ms(60), ms(1_100));
+    sim.run(ms(300));
+    assert_eq!(sim.start_count(), 0);
+}
+
+/// Guards against leases that are not renewed although heartbeats arrive.
+#[test]
+fn run_of_live_submitter_keeps_its_lease() {
+    let mut sim = Simulation::new(1).take_over();
+    let key = submit_for(&mut sim, 1, ms(1_200), ms(0));
+    run_with_heartbeats(&mut sim, ms(1_300));
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+    assert_eq!(sim.dispatcher.counts().lost_runs, 0);
+}
+
+/// Guards against runs that are lost because the submitter of another job on their target was silent
+/// for a while.
+#[test]
+fn run_next_to_that_of_silent_submitter_keeps_its_lease() {
+    let mut sim = Simulation::new(1).take_over();
+    let other = sim.submit(submission(2, LONG, 1, ms(1_300)));
+    submit_for(&mut sim, 1, ms(1_200), ms(0));
+    sim.run(ms(600));
+    run_with_heartbeats(&mut sim, ms(800));
+    assert_eq!(sim.outcome(other), Some(Outcome::Completed));
+    assert_eq!(sim.dispatcher.counts().lost_runs, 0);
+}
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -17,7 +17,7 @@
         shard::ShardCount,
         target::{TargetId, TargetReport, TargetTime},
     },
-    transport::fleet::{DispatchOptions, PeerHandler, PeerLink, serve},
+    transport::fleet::{DispatchOptions, PeerHandler, PeerLink, Submitter, serve},
 };
 use std::{future::pending, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
@@ -134,7 +134,12 @@
 
     fn on_heartbeat(self: &Rc<Self>, _: Heartbeat) {}
 
-    async fn run(self: &Rc<Self>, _: JobSubmission, _: DispatchOptions) -> DispatchReply {
+    async fn run(
+        self: &Rc<Self>,
+        _: JobSubmission,
+        _: DispatchOptions,
+        _: Submitter,
+    ) -> DispatchReply {
         DispatchReply::Ended(Outcome::Unknown)
     }
 
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -18,7 +18,7 @@
         target::{TargetId, TargetIncarnation},
     },
     transport::{
-        fleet::{DispatchOptions, PeerHandler, PeerLink, serve},
+        fleet::{DispatchOptions, PeerHandler, PeerLink, Submitter, serve},
         rpc::connect,
     },
 };
@@ -59,7 +59,12 @@
 
     fn on_heartbeat(self: &Rc<Self>, _: Heartbeat) {}
 
-    async fn run(self: &Rc<Self>, job: JobSubmission, _: DispatchOptions) -> DispatchReply {
+    async fn run(
+        self: &Rc<Self>,
+        job: JobSubmission,
+        _: DispatchOptions,
+        _: Submitter,
+    ) -> DispatchReply {
         self.submitted.borrow_mut().push(job.time_to_deadline);
         DispatchReply::Ended(Outcome::Completed)
     }
--- a/tests/shards.rs
+++ b/tests/shards.rs
@@ -5,6 +5,7 @@
         RunRequest,
         ownership::LeaseRenewal,
         replies::{LeaseRenewalError, StartReply, StopReply},
+        submitters::SubmitterId,
         timing::{RunBounds, Timing},
     },
     fleet::Node,
@@ -18,7 +19,7 @@
         shard::{Shard, ShardCount, ShardError},
         target::{FencingToken, TargetId, TargetIncarnation, TargetInfo, TargetReport, TargetTime},
     },
-    transport::fleet::{DispatchOptions, PeerHandler, serve},
+    transport::fleet::{DispatchOptions, PeerHandler, Submitter, serve},
 };
 use indexmap::IndexMap;
 use std::{
@@ -348,9 +349,10 @@
         let count = zone.nodes[0].shard_count();
         let id = (0..).find(|id| count.shard_of_job(CallerJobId(*id)) == 0).unwrap();
         let elsewhere = (0..).find(|id| count.shard_of_job(CallerJobId(*id)) == 1).unwrap();
+        let submitter = Submitter { id: SubmitterId(1), silent_for: Duration::ZERO };
         for (id, shard_count) in [(id, ShardCount::ONE), (elsewhere, count)] {
             let options = DispatchOptions { may_redirect: false, resumed: true, shard_count };
-            let reply = zone.nodes[0].run(job(id), options).await;
+            let reply = zone.nodes[0].run(job(id), options, submitter).await;
             assert_eq!(reply, DispatchReply::Ended(Outcome::Unknown));
         }
         assert_eq!(zone.targets.starts.get(), 0);
