--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -26,6 +26,7 @@
 pub mod runs;
 mod size_forecast;
 mod size_match;
+pub mod submitters;
 mod task_sizes;
 pub mod timing;
 mod wide_job;
@@ -51,6 +52,7 @@
 pub use log_event::{JobLabel, LogEvent, Outlook};
 use ownership::TargetListStatus;
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use submitters::Submitters;
 use task_sizes::TaskSizes;
 use timing::Timing;
 
@@ -232,6 +234,7 @@
     closed_runs: run_log::ClosedRuns,
     /// Submissions that wait until earlier runs of their tasks are closed.
     deferred: Vec<DeferredSubmission>,
+    submitters: Submitters,
     remote_shards: IndexMap<Shard, RemoteShard>,
     evacuations: Evacuations,
     /// Targets that were lost under tasks.
@@ -285,6 +288,7 @@
             orphaned_runs: IndexMap::new(),
             closed_runs: run_log::ClosedRuns::default(),
             deferred: Vec::new(),
+            submitters: Submitters::default(),
             remote_shards: IndexMap::new(),
             evacuations: Evacuations::default(),
             crash_history: CrashHistory::default(),
--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -36,6 +36,7 @@
     pub fn log_received_job(&mut self, job: &ReceivedJob, event: ReceivedJobEvent, now: Moment) {
         let (kind, level) = match event {
             ReceivedJobEvent::ArrivedLate => ("arrived late", log::Level::Warn),
+            ReceivedJobEvent::RefusedAsLate => ("refused as late", log::Level::Warn),
             ReceivedJobEvent::SenderUnresponsive => ("sender unresponsive", log::Level::Warn),
             ReceivedJobEvent::Dropped => ("cancelled", log::Level::Info),
         };
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -326,7 +326,7 @@
             return Err(UnknownCause::ShardsChanged.into());
         }
         if self.dispatches_job(submission.id) {
-            return Ok(self.run_locally(submission.clone(), options).await);
+            return Ok(self.run_locally(submission.clone(), options, None).await);
         }
         if let Some(link) = self.link_for(submission.id).get() {
             return Ok(link.run(submission, options).await?);
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -37,6 +37,11 @@
     cause: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DecisionLabel {
+    decision: &'static str,
+}
+
 /// Counters and histograms of the jobs that callers sent to this VM.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -46,7 +51,7 @@
     redirected: Counter,
     unknown: Family<CauseLabel, Counter>,
     callers_gone: Counter,
-    arrived_late: Counter,
+    late: Family<DecisionLabel, Counter>,
     cancelled: Family<CauseLabel, Counter>,
 }
 
@@ -59,7 +64,7 @@
             redirected: Counter::default(),
             unknown: Family::default(),
             callers_gone: Counter::default(),
-            arrived_late: Counter::default(),
+            late: Family::default(),
             cancelled: Family::default(),
         }
     }
@@ -104,15 +109,14 @@
 
     /// Counts a job received from a peer that is silent or gone.
     pub fn received_job(&self, event: ReceivedJobEvent) {
-        let cause = match event {
-            ReceivedJobEvent::ArrivedLate => {
-                self.arrived_late.inc();
-                return;
-            }
-            ReceivedJobEvent::SenderUnresponsive => "sender_unresponsive",
-            ReceivedJobEvent::Dropped => "dropped",
+        let late = |decision| self.late.get_or_create(&DecisionLabel { decision }).inc();
+        let cancelled = |cause| self.cancelled.get_or_create(&CauseLabel { cause }).inc();
+        match event {
+            ReceivedJobEvent::ArrivedLate => late("run"),
+            ReceivedJobEvent::RefusedAsLate => late("refused"),
+            ReceivedJobEvent::SenderUnresponsive => cancelled("sender_unresponsive"),
+            ReceivedJobEvent::Dropped => cancelled("dropped"),
         };
-        self.cancelled.get_or_create(&CauseLabel { cause }).inc();
     }
 
     fn register(&self, registry: &mut Registry) {
@@ -127,8 +131,8 @@
         registry.register("unknown_outcomes", help, self.unknown.clone());
         let help = "Jobs whose callers went away before the answer";
         registry.register("callers_gone", help, self.callers_gone.clone());
-        let help = "Jobs read from a connection that their sender had given up";
-        registry.register("late_submissions", help, self.arrived_late.clone());
+        let help = "Jobs read from a connection whose sender may have given it up, by decision";
+        registry.register("late_submissions", help, self.late.clone());
         let help = "Jobs of other VMs that were cancelled, by cause";
         registry.register("cancelled_submissions", help, self.cancelled.clone());
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -20,6 +20,7 @@
             Counts, RunRequest, SpareCpu,
             ownership::LeaseRenewal,
             replies::{LeaseRenewalError, StartReply, StopReply},
+            submitters::SubmitterId,
             timing::Timing,
         },
         election::is_standby,
@@ -37,7 +38,7 @@
         time::Moment,
     },
     transport::{
-        fleet::{DispatchOptions, PeerHandler, PeerLink},
+        fleet::{DispatchOptions, PeerHandler, PeerLink, Submitter},
         received_job::{ReceivedJob, ReceivedJobEvent},
     },
 };
@@ -436,12 +437,21 @@
         }
     }
 
+    fn on_peer_alive(self: &Rc<Self>, submitter: Submitter) {
+        self.drive(|core, now| core.set_submitter_alive(submitter.id, now - submitter.silent_for));
+    }
+
+    fn on_peer_gone(self: &Rc<Self>, submitter: SubmitterId) {
+        self.drive(|core, _| core.remove_submitter(submitter));
+    }
+
     async fn run(
         self: &Rc<Self>,
         submission: JobSubmission,
         options: DispatchOptions,
+        submitter: Submitter,
     ) -> DispatchReply {
-        self.run_locally(submission, options).await
+        self.run_locally(submission, options, Some(submitter)).await
     }
 
     fn on_received_job(&self, job: &ReceivedJob, event: ReceivedJobEvent) {
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -9,6 +9,7 @@
     rpc::{RpcError, connect_with_timeouts, serve_with},
 };
 use crate::{
+    coordination::dispatch::submitters::SubmitterId,
     fleet_capnp::peer,
     protocol::fleet::{
         DispatchReply, Heartbeat, Snapshot, TargetList, read_dispatch_reply, read_evacuations,
@@ -17,7 +18,7 @@
     },
     state::{
         id::{ConfigVersion, VmName, ZoneName},
-        job_submission::{JobSubmission, Outcome},
+        job_submission::{JobSubmission, Outcome, Refusal},
         shard::ShardCount,
         target::TargetId,
     },
@@ -45,6 +46,12 @@
 /// over a connection. It is longer than [`HEARTBEAT_TIMEOUT`] plus the heartbeat interval of
 /// connections that carry jobs, so that the connecting side closes the connection first.
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(650);
+/// Longest time for which a peer on a sound connection that carries jobs is not proven alive: two
+/// heartbeat intervals, a round trip and the delay of a VM that has used up its processor share.
+const USUAL_UNPROVEN_TIME: Duration = Duration::from_millis(300);
+/// Retry delay of a job that is refused because its sender may have given it up: a sender that is alive
+/// has proven it by then.
+const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Timeout for the reply to a request for a [`Snapshot`].
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -66,17 +73,31 @@
     pub shard_count: ShardCount,
 }
 
+/// A peer that submits jobs over a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Submitter {
+    /// Identifies the connection.
+    pub id: SubmitterId,
+    /// Time for which the peer is not proven to have been alive.
+    pub silent_for: Duration,
+}
+
 /// Handles the calls of peers to this VM.
 pub trait PeerHandler: 'static {
     /// Returns the heartbeat that reports the present state of this VM.
     fn heartbeat(&self) -> Heartbeat;
     /// Processes a heartbeat received from a peer.
     fn on_heartbeat(self: &Rc<Self>, heartbeat: Heartbeat);
+    /// Handles the proof that a peer was alive. Does nothing by default.
+    fn on_peer_alive(self: &Rc<Self>, _submitter: Submitter) {}
+    /// Handles the end of the connection of a peer. Does nothing by default.
+    fn on_peer_gone(self: &Rc<Self>, _submitter: SubmitterId) {}
     /// Runs a job until it ends. Dropping the future cancels the job.
     fn run(
         self: &Rc<Self>,
         job: JobSubmission,
         options: DispatchOptions,
+        submitter: Submitter,
     ) -> impl Future<Output = DispatchReply>;
     /// Records something unusual about a job that a peer sent.
     fn on_received_job(&self, _job: &ReceivedJob, _event: ReceivedJobEvent) {}
@@ -89,45 +110,49 @@
     fn target_list(&self) -> Option<TargetList>;
 }
 
-pub(super) struct PeerServer<H> {
-    handler: Rc<H>,
-    connected_at: Instant,
+pub(super) struct PeerServer<H>
+where
+    H: PeerHandler,
+{
+    pub(super) handler: Rc<H>,
+    id: SubmitterId,
+    pub(super) connected_at: Instant,
     /// Time from `connected_at` to the latest moment at which the peer was provably alive.
     last_alive: Cell<Duration>,
     /// Name of the peer, as its heartbeats give it.
-    sender: RefCell<Option<VmName>>,
+    pub(super) sender: RefCell<Option<VmName>>,
 }
 
-impl<H> PeerServer<H> {
-    pub(super) fn handler(&self) -> &Rc<H> {
-        &self.handler
-    }
-
-    pub(super) fn sender(&self) -> Option<VmName> {
-        self.sender.borrow().clone()
-    }
-
-    pub(super) fn connected_for(&self) -> Duration {
-        self.connected_at.elapsed()
+impl<H> Drop for PeerServer<H>
+where
+    H: PeerHandler,
+{
+    fn drop(&mut self) {
+        self.handler.on_peer_gone(self.id);
     }
+}
 
-    /// Time since the peer was last proven alive.
-    pub(super) fn silence(&self) -> Duration {
-        self.connected_at.elapsed().saturating_sub(self.last_alive.get())
+impl<H> PeerServer<H>
+where
+    H: PeerHandler,
+{
+    fn submitter(&self) -> Submitter {
+        Submitter { id: self.id, silent_for: self.unproven_for() }
     }
 
-    /// Whether the peer has been silent for longer than it waits for an answer to a heartbeat.
-    pub(super) fn has_given_up(&self) -> bool {
-        self.silence() > HEARTBEAT_TIMEOUT
+    /// Time for which the peer is not proven to have been alive. What it sent on this connection and
+    /// is received now was delayed by no longer than that.
+    pub(super) fn unproven_for(&self) -> Duration {
+        self.connected_at.elapsed() - self.last_alive.get()
     }
 
     async fn wait_until_unresponsive(&self) {
         loop {
-            let unresponsive_for = self.silence();
-            if unresponsive_for >= UNRESPONSIVE_TIMEOUT {
+            let unproven_for = self.unproven_for();
+            if unproven_for >= UNRESPONSIVE_TIMEOUT {
                 return;
             }
-            sleep(UNRESPONSIVE_TIMEOUT - unresponsive_for).await;
+            sleep(UNRESPONSIVE_TIMEOUT - unproven_for).await;
         }
     }
 }
@@ -147,6 +172,7 @@
         let params = params.get()?;
         let alive_at = Duration::from_millis(params.get_echo());
         self.last_alive.set(self.last_alive.get().max(alive_at.min(self.connected_at.elapsed())));
+        self.handler.on_peer_alive(self.submitter());
         let heartbeat = read_heartbeat(params.get_beat()?)?;
         self.sender.borrow_mut().get_or_insert_with(|| heartbeat.from.vm.clone());
         self.handler.on_heartbeat(heartbeat);
@@ -167,14 +193,26 @@
             resumed: params.get_resumed(),
             shard_count: ShardCount::from_wire(params.get_shard_count()),
         };
-        let job = read_job_submission(params.get_work()?)?;
+        let mut job = read_job_submission(params.get_work()?)?;
         let guard = ReceivedJobGuard::new(&self, job.id, options);
+        let unproven_for = self.unproven_for();
+        if unproven_for >= UNRESPONSIVE_TIMEOUT {
+            guard.end_with(ReceivedJobEvent::RefusedAsLate);
+            // The sender may have given this job up, and its caller may have submitted it elsewhere.
+            let refused =
+                Outcome::NotRun { refusal: Refusal::Closed, retry_after: STALE_RETRY_AFTER };
+            write_dispatch_reply(DispatchReply::Ended(refused), results.get());
+            return Ok(());
+        }
+        if unproven_for > HEARTBEAT_TIMEOUT {
+            guard.report(ReceivedJobEvent::ArrivedLate);
+        }
+        let delay = unproven_for.saturating_sub(USUAL_UNPROVEN_TIME);
+        job.time_to_deadline = job.time_to_deadline.saturating_sub(delay);
         let reply = tokio::select! {
-            reply = self.handler.run(job, options) => reply,
-            () = self.wait_until_unresponsive() => {
-                guard.cancel();
-                DispatchReply::Ended(Outcome::Unknown)
-            }
+            biased;
+            reply = self.handler.run(job, options, self.submitter()) => reply,
+            () = self.wait_until_unresponsive() => guard.cancel(),
         };
         guard.end();
         write_dispatch_reply(reply, results.get());
@@ -237,10 +275,13 @@
 where
     H: PeerHandler,
 {
+    let connections = Cell::new(0);
     let make = || -> peer::Client {
         let handler = Rc::clone(&handler);
+        connections.set(connections.get() + 1);
         capnp_rpc::new_client(PeerServer {
             handler,
+            id: SubmitterId(connections.get()),
             connected_at: Instant::now(),
             last_alive: Cell::default(),
             sender: RefCell::default(),
--- a/src/transport/received_job.rs
+++ b/src/transport/received_job.rs
@@ -1,7 +1,13 @@
 //! What the receiver of a job notices of a sender that is silent or gone.
 
 use super::fleet::{DispatchOptions, PeerHandler, PeerServer};
-use crate::state::{id::VmName, job_submission::CallerJobId};
+use crate::{
+    protocol::fleet::DispatchReply,
+    state::{
+        id::VmName,
+        job_submission::{CallerJobId, Outcome},
+    },
+};
 use derive_more::Display;
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time::Instant;
@@ -32,10 +38,13 @@
 /// Why a received job is of interest to operators.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum ReceivedJobEvent {
-    /// It was read from a connection whose sender had been silent for so long that it has given the
-    /// connection up, and may have answered its caller.
+    /// It was read from a connection whose sender had not been proven alive for longer than it waits
+    /// for an answer to a heartbeat. It was run, with less time to its deadline.
     #[display("arrived late")]
     ArrivedLate,
+    /// It was refused since it was read so late that its sender may have given it up.
+    #[display("refused, its sender may have given it up")]
+    RefusedAsLate,
     /// It was cancelled because its sender was silent.
     #[display("cancelled, its sender is unresponsive")]
     SenderUnresponsive,
@@ -65,17 +74,13 @@
         id: CallerJobId,
         options: DispatchOptions,
     ) -> Self {
-        let guard = ReceivedJobGuard {
+        ReceivedJobGuard {
             server: Rc::clone(server),
             id,
             options,
             received_at: Instant::now(),
             has_ended: Cell::new(false),
-        };
-        if server.has_given_up() {
-            guard.report(ReceivedJobEvent::ArrivedLate);
         }
-        guard
     }
 
     /// Records that the job has ended.
@@ -83,22 +88,29 @@
         self.has_ended.set(true);
     }
 
-    /// Records that the job is cancelled because its sender is silent.
-    pub(super) fn cancel(&self) {
+    /// Records that the job is not run any further.
+    pub(super) fn end_with(&self, event: ReceivedJobEvent) {
         self.end();
-        self.report(ReceivedJobEvent::SenderUnresponsive);
+        self.report(event);
+    }
+
+    /// Reports that the job is cancelled because its sender is silent, and returns its reply.
+    pub(super) fn cancel(&self) -> DispatchReply {
+        self.end_with(ReceivedJobEvent::SenderUnresponsive);
+        DispatchReply::Ended(Outcome::Unknown)
     }
 
-    fn report(&self, event: ReceivedJobEvent) {
+    /// Reports something unusual about the job.
+    pub(super) fn report(&self, event: ReceivedJobEvent) {
         let job = ReceivedJob {
             id: self.id,
-            from: self.server.sender(),
+            from: self.server.sender.borrow().clone(),
             options: self.options,
             age: self.received_at.elapsed(),
-            silence: self.server.silence(),
-            connected: self.server.connected_for(),
+            silence: self.server.unproven_for(),
+            connected: self.server.connected_at.elapsed(),
         };
-        self.server.handler().on_received_job(&job, event);
+        self.server.handler.on_received_job(&job, event);
     }
 }
 
