Void unanswered starts on restarted targets

Cause: an unanswered start was regarded as void once its lease was over by the clock of the target. A target that is started again under its name has another clock, which begins anew, and knows no stops and no tokens: a start to the former incarnation that reaches it is accepted.

Evidence: two new tests fail before the change. A start delayed by 5 s is executed by a target that was back after 3.3 s; a start delayed by 1.3 s runs beside its repetition where the target is back at once and answers no stop.

Change: a run of a former incarnation is closed only when the target confirms the stop, or is silent until the lease is over. Closed runs with an unanswered start are kept for 15 s; a new incarnation gets stops for them, which void late starts. Readings of the clock in replies to starts count only for the incarnation that the start was sent to.

Left: a late start that reaches the new incarnation before the stop does is executed, and stopped with the next report.

--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -42,6 +42,9 @@
 /// unreachable.
 const LIST_READ_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time after which no start request that was not answered is expected to be executed any more.
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
+
 /// Status of the list of targets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TargetListStatus {
@@ -126,6 +129,16 @@
         target.info.incarnation = incarnation;
         target.clock = None;
         target.last_end_sequence = 0;
+        let unanswered = std::mem::take(&mut target.unanswered_starts);
+        let target = &self.targets[id];
+        // Voids the start requests that the new incarnation may still receive.
+        let stops = unanswered
+            .iter()
+            .filter(|(task, _)| !target.runs.contains_key(*task))
+            .map(|(task, (run, _))| Action::Stop(self.run_request(target, *task, *run)));
+        let stops: Vec<Action> = stops.collect();
+        self.counts.stops += stops.len() as u64;
+        self.actions.extend(stops);
         self.log(LogEvent::TargetStateChanged { target: id.clone(), state: "a new incarnation" });
     }
 
@@ -210,10 +223,11 @@
     pub(super) fn check_targets(&mut self, now: Moment) {
         let is_expired = |t: &&Target| t.unresponsive_since.is_some() && t.latest_lease_end() < now;
         let has_expired_stop = |t: &&Target| {
-            let unconfirmed = t
-                .runs
-                .values()
-                .any(|r| matches!(r.state, RunState::Stopping { ends_by: None, .. }));
+            // Another incarnation may execute the start late, as its clock is not that of the lease.
+            let unconfirmed = t.runs.values().any(|r| {
+                r.incarnation == t.info.incarnation
+                    && matches!(r.state, RunState::Stopping { ends_by: None, .. })
+            });
             unconfirmed && t.latest_lease_end() < now
         };
         let expired = self.targets.values().filter(|t| is_expired(t) || has_expired_stop(t));
@@ -226,6 +240,9 @@
             });
             self.close_all_runs(&id, LossCause::Expired, now);
         }
+        for target in self.targets.values_mut() {
+            target.unanswered_starts.retain(|_, (_, closed_at)| now - *closed_at < MAX_ORDER_DELAY);
+        }
         let is_removable = |t: &&Target| !t.listed && t.runs.is_empty();
         let removable: Vec<TargetId> =
             self.targets.values().filter(is_removable).map(|t| t.info.id.clone()).collect();
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -338,6 +338,7 @@
             state: RunState::Starting,
             start_sent_at: now,
             start_attempts: 1,
+            has_unanswered_start: false,
             pending_lease_end: Some(lease.latest_end),
             expected_duration: best.run_time,
             expected_end: now + best.run_time,
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -116,16 +116,22 @@
     ) {
         self.check_suspension(now);
         let Some(target) = self.targets.get_mut(id) else { return };
-        if let StartReply::Started(clock) | StartReply::Refused(_, Some(clock)) = reply {
+        let Some(run) = target.runs.get_mut(&task).filter(|r| r.number == number) else { return };
+        let is_of_incarnation = run.incarnation == target.info.incarnation;
+        if let StartReply::Started(clock) | StartReply::Refused(_, Some(clock)) = reply
+            && is_of_incarnation
+        {
             target.clock = latest_clock(target.clock, clock, now);
         }
-        let Some(run) = target.runs.get_mut(&task).filter(|r| r.number == number) else { return };
         // A lease that was not sent must not keep the runs of an unreachable target open.
         let lease_end = run.pending_lease_end.take().filter(|_| reply != StartReply::NotSent);
         let start_sent_at = run.start_sent_at;
         target.lease_end = target.lease_end.max(lease_end.unwrap_or_default());
         match reply {
-            StartReply::Unknown => self.rtt.observe_timeout(),
+            StartReply::Unknown => {
+                run.has_unanswered_start = true;
+                self.rtt.observe_timeout();
+            }
             _ => self.rtt.observe(now - start_sent_at),
         }
         let Some(run) = target.runs.get_mut(&task) else { return };
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -210,10 +210,11 @@
         outcome: RunOutcome,
         now: Moment,
     ) {
-        let Some(run) = self.targets.get_mut(target_id).and_then(|t| t.remove_run(task, number))
-        else {
-            return;
-        };
+        let Some(target) = self.targets.get_mut(target_id) else { return };
+        let Some(run) = target.remove_run(task, number) else { return };
+        if run.has_unanswered_start && outcome != RunOutcome::Done {
+            target.unanswered_starts.insert(task, (number, now));
+        }
         self.on_suspect_ended(task, outcome);
         let is_lost = matches!(outcome, RunOutcome::Lost(_));
         if is_lost {
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -217,6 +217,8 @@
     pub start_sent_at: Moment,
     /// Number of start requests sent.
     pub start_attempts: u32,
+    /// Whether a start request was not answered, so that the target may still execute it.
+    pub has_unanswered_start: bool,
     /// Latest end of the lease that the start request grants; `None` once the request is answered
     /// or has timed out.
     pub pending_lease_end: Option<Moment>,
@@ -349,6 +351,9 @@
     pub clock: Option<ClockReading>,
     /// Runs of this dispatcher that may exist on the target.
     pub runs: IndexMap<TaskId, Run>,
+    /// Closed runs with a start request that was not answered, and when they were closed. The
+    /// target rejects the request by its clock, but after a restart that begins anew.
+    pub unanswered_starts: IndexMap<TaskId, (RunNumber, Moment)>,
     /// Resources that the runs in `runs` occupy.
     pub used: Resources,
     /// Sequence number of the last end of a run that was processed.
@@ -392,6 +397,7 @@
             accepted_token: false,
             clock: None,
             runs: IndexMap::new(),
+            unanswered_starts: IndexMap::new(),
             used: Resources::default(),
             last_end_sequence: 0,
             lease_end: Moment::ZERO,
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -110,3 +110,39 @@
     assert_eq!(sim.outcome(other), Some(Outcome::Completed));
     assert_eq!(sim.dispatcher.counts().lost_runs, 0);
 }
+
+/// Guards against two runs of a task at once: a start is executed by the next incarnation of its target,
+/// whose clock begins anew, so that the end of its lease lies ahead.
+#[test]
+fn late_start_on_restarted_target_is_refused() {
+    let mut sim = Simulation::new(2).take_over();
+    sim.run(ms(20_000));
+    sim.target(0).fault = Fault::DelaysStarts(ms(5_000));
+    sim.submit(submission(1, LONG, 1, ms(450)));
+    sim.run(ms(1_200));
+    let now = sim.now;
+    sim.target(0).crash(now);
+    sim.run(ms(6_000));
+    assert_eq!(sim.target(0).starts, []);
+}
+
+/// Guards against the same where the target is back before the lease is over and answers no stop.
+#[test]
+fn unconfirmed_stop_on_restarted_target_keeps_its_run_open() {
+    let mut sim = Simulation::new(2).take_over();
+    sim.run(ms(20_000));
+    sim.target(0).fault = Fault::DelaysStarts(ms(1_300));
+    sim.submit(submission(1, LONG, 1, ms(450)));
+    sim.change_target(0, |info| info.draining = true);
+    sim.run(ms(200));
+    let now = sim.now;
+    sim.target(0).restart(now);
+    sim.target(0).fault = Fault::LosesStopRequests;
+    sim.run(ms(1_400));
+    assert!(sim.duplicate_runs.is_empty());
+    sim.target(0).fault = Fault::None;
+    sim.run(ms(200));
+    let key = sim.submit(submission(1, LONG, 1, ms(450)));
+    sim.run(ms(700));
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
