Deduct the delay of a submission from its time to the deadline

What callers saw: tasks that run on after the caller's deadline, and dispatchers that admit jobs which can't be done in time.

Cause: the time to the deadline is relative, and the dispatcher counted it from the receipt of the request, so that each delay in transit moved the deadline by as much.

Change: the time for which the sender is not proven alive is an upper bound of the delay. On a sound connection it goes up to 0.3 s (two heartbeat intervals and a round trip), with a delay of milliseconds; only what exceeds that is deducted. So a deadline moves by 0.3 s at most, instead of 0.65 s with the check of the sender's liveness and without bound before it, and jobs on sound connections lose nothing. No lower bound of the delay is known without the sender's time, which the request doesn't carry.

--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -42,6 +42,9 @@
 /// over a connection. It is longer than [`HEARTBEAT_TIMEOUT`] plus the heartbeat interval of
 /// connections that carry jobs, so that the connecting side closes the connection first.
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(650);
+/// Longest time for which a peer on a sound connection that carries jobs is not proven alive: two
+/// heartbeat intervals, a round trip and the delay of a VM that has used up its processor share.
+const USUAL_UNPROVEN_TIME: Duration = Duration::from_millis(300);
 /// Retry delay of a job that is refused because its sender may have given it up: a sender that is alive
 /// has proven it by then.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -145,14 +148,17 @@
             resumed: params.get_resumed(),
             shard_count: ShardCount::from_wire(params.get_shard_count()),
         };
-        let job = read_job_submission(params.get_work()?)?;
-        if self.unproven_for() >= UNRESPONSIVE_TIMEOUT {
+        let mut job = read_job_submission(params.get_work()?)?;
+        let unproven_for = self.unproven_for();
+        if unproven_for >= UNRESPONSIVE_TIMEOUT {
             // The sender may have given this job up, and its caller may have submitted it elsewhere.
             let refused =
                 Outcome::NotRun { refusal: Refusal::Closed, retry_after: STALE_RETRY_AFTER };
             write_dispatch_reply(DispatchReply::Ended(refused), results.get());
             return Ok(());
         }
+        let delay = unproven_for.saturating_sub(USUAL_UNPROVEN_TIME);
+        job.time_to_deadline = job.time_to_deadline.saturating_sub(delay);
         let reply = tokio::select! {
             biased;
             reply = self.handler.run(job, options) => reply,
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -22,13 +22,23 @@
         rpc::connect,
     },
 };
-use std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::{
     net::TcpListener,
     task::{LocalSet, spawn_local},
     time::sleep,
 };
 
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
 /// A VM that sends a fixed heartbeat and completes all jobs at once.
 struct Sender {
     heartbeat: Heartbeat,
@@ -141,7 +151,7 @@
         queue: "queue".into(),
         spec: "".into(),
         steps: Vec::new(),
-        time_to_deadline: Duration::from_millis(1_500),
+        time_to_deadline: ms(1_500),
     };
     let mut req = client.run_request();
     write_job_submission(&job, req.get().init_work());
@@ -157,7 +167,7 @@
         let client: peer::Client = connect(address).await.unwrap();
         let token = beat(&client, 0).await;
         assert_eq!(run(&client).await, DispatchReply::Ended(Outcome::Completed));
-        sleep(Duration::from_millis(700)).await;
+        sleep(ms(700)).await;
         let mut refused = 0;
         for n in 0..100 {
             // A delayed heartbeat does not prove that its sender is still alive.
@@ -176,6 +186,31 @@
     });
 }
 
+/// Guards against tasks that run on after their caller's deadline: the time to the deadline counted from
+/// the receipt of a submission, however long the network had delayed it.
+#[test]
+fn run_delayed_in_transit_keeps_its_deadline() {
+    serve_during(heartbeat(Vec::new()), |receiver, address| async move {
+        let client: peer::Client = connect(address).await.unwrap();
+        for transit in [ms(0), ms(400)] {
+            // The submission is refused if the process is suspended meanwhile.
+            let (left, longest) = loop {
+                let begun = Instant::now();
+                let token = beat(&client, 0).await;
+                beat(&client, token).await;
+                sleep(transit).await;
+                run(&client).await;
+                if let Some(left) = receiver.submitted.take().pop() {
+                    break (left, begun.elapsed() + ms(1));
+                }
+            };
+            let least = ms(1_500) - longest.saturating_sub(ms(300));
+            let most = ms(1_500) - transit.saturating_sub(ms(300));
+            assert!(least <= left && left <= most, "{left:?}, {least:?} to {most:?}");
+        }
+    });
+}
+
 /// Guards against a VM that starts while the store is unavailable and learns the configuration from
 /// a peer, but not which zones are evacuated.
 #[test]
