Decline a handover from a peer that may have given it up

What callers saw: "some tasks may have run" for jobs whose dispatcher was replaced without need.

Cause: a leaving dispatcher waits 0.5 s for the reply to a handover and then asks the next VM. A handover that the network had delayed was carried out however late, and made a second dispatcher of the shard beside the one that had accepted the targets meanwhile.

Evidence: a handover received 0.7 s after its sender was last proven alive was carried out (new test, failed in the run made before the change).

Change: the check that run requests pass applies to handovers as well; they use connections with the same interval of heartbeats.

Result: the test passes. Targets check fencing tokens, so this fault alone starts no task twice.

--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -174,6 +174,11 @@
         mut results: peer::HandOverResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
+        if self.unproven_for() >= UNRESPONSIVE_TIMEOUT {
+            // The sender may have handed its targets over to another VM since.
+            results.get().set_taken(false);
+            return Ok(());
+        }
         let mut kept = Vec::new();
         for id in params.get_kept()? {
             kept.push(TargetId::from(id?.to_str()?));
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -23,7 +23,7 @@
     },
 };
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     future::Future,
     net::SocketAddr,
     rc::Rc,
@@ -44,11 +44,13 @@
     heartbeat: Heartbeat,
     /// Times to the deadline of the jobs that were submitted.
     submitted: RefCell<Vec<Duration>>,
+    /// Number of handovers received.
+    handovers: Cell<u32>,
 }
 
 impl Sender {
     fn new(heartbeat: Heartbeat) -> Rc<Self> {
-        Rc::new(Sender { heartbeat, submitted: RefCell::default() })
+        Rc::new(Sender { heartbeat, submitted: RefCell::default(), handovers: Cell::new(0) })
     }
 }
 
@@ -65,7 +67,8 @@
     }
 
     fn take_over(self: &Rc<Self>, _: u64, _: Vec<TargetId>) -> bool {
-        false
+        self.handovers.set(self.handovers.get() + 1);
+        true
     }
 
     fn target_list(&self) -> Option<TargetList> {
@@ -186,6 +189,24 @@
     });
 }
 
+/// Guards against two dispatchers of a zone: the network delays a handover until the leaving dispatcher
+/// has handed its targets to another VM.
+#[test]
+fn handover_of_unresponsive_sender_is_declined() {
+    serve_during(heartbeat(Vec::new()), |receiver, address| async move {
+        let client: peer::Client = connect(address).await.unwrap();
+        let hand_over = async || {
+            let res = client.hand_over_request().send().promise.await.unwrap();
+            res.get().unwrap().get_taken()
+        };
+        beat(&client, 0).await;
+        assert!(hand_over().await);
+        sleep(ms(700)).await;
+        assert!(!hand_over().await);
+        assert_eq!(receiver.handovers.get(), 1);
+    });
+}
+
 /// Guards against tasks that run on after their caller's deadline: the time to the deadline counted from
 /// the receipt of a submission, however long the network had delayed it.
 #[test]
