Ignore a heartbeat that the network has delayed for seconds

What callers saw: nothing yet, by reading of the code. A dispatcher would step down for a former one of a higher epoch or weight, whose heartbeat arrives after its end, and answer its jobs "some tasks may have run".

Cause: a heartbeat that proves nothing about the present still changed the state of its receiver: rivals, spare CPU of other shards with the time of the receipt, addresses of dispatchers, the division of a zone.

Change: a heartbeat reaches the handler only if its sender is proven to have been alive in the last 2 s: heartbeats are sent every second at the longest, and a sender closes the connection 0.5 s after one that is not answered. The reply is sent as before, so that a VM that was suspended learns the present state at once.

--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -45,6 +45,10 @@
 /// Longest time for which a peer on a sound connection that carries jobs is not proven alive: two
 /// heartbeat intervals, a round trip and the delay of a VM that has used up its processor share.
 const USUAL_UNPROVEN_TIME: Duration = Duration::from_millis(300);
+/// A heartbeat that proves its sender alive longer ago than this is ignored. Heartbeats are sent every
+/// second at the longest, and the sender closes the connection unless each is answered within
+/// [`HEARTBEAT_TIMEOUT`].
+const MAX_HEARTBEAT_AGE: Duration = Duration::from_millis(2_000);
 /// Retry delay of a job that is refused because its sender may have given it up: a sender that is alive
 /// has proven it by then.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -130,7 +134,9 @@
         let params = params.get()?;
         let alive_at = Duration::from_millis(params.get_echo());
         self.last_alive.set(self.last_alive.get().max(alive_at.min(self.connected_at.elapsed())));
-        self.handler.on_heartbeat(read_heartbeat(params.get_beat()?)?);
+        if self.unproven_for() <= MAX_HEARTBEAT_AGE {
+            self.handler.on_heartbeat(read_heartbeat(params.get_beat()?)?);
+        }
         let mut results = results.get();
         results.set_token(self.connected_at.elapsed().as_millis() as u64);
         write_heartbeat(&self.handler.heartbeat(), results.init_beat());
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -44,13 +44,20 @@
     heartbeat: Heartbeat,
     /// Times to the deadline of the jobs that were submitted.
     submitted: RefCell<Vec<Duration>>,
+    /// Number of heartbeats received.
+    heartbeats: Cell<u32>,
     /// Number of handovers received.
     handovers: Cell<u32>,
 }
 
 impl Sender {
     fn new(heartbeat: Heartbeat) -> Rc<Self> {
-        Rc::new(Sender { heartbeat, submitted: RefCell::default(), handovers: Cell::new(0) })
+        Rc::new(Sender {
+            heartbeat,
+            submitted: RefCell::default(),
+            heartbeats: Cell::new(0),
+            handovers: Cell::new(0),
+        })
     }
 }
 
@@ -59,7 +66,9 @@
         self.heartbeat.clone()
     }
 
-    fn on_heartbeat(self: &Rc<Self>, _: Heartbeat) {}
+    fn on_heartbeat(self: &Rc<Self>, _: Heartbeat) {
+        self.heartbeats.set(self.heartbeats.get() + 1);
+    }
 
     async fn run(self: &Rc<Self>, job: JobSubmission, _: DispatchOptions) -> DispatchReply {
         self.submitted.borrow_mut().push(job.time_to_deadline);
@@ -207,6 +216,25 @@
     });
 }
 
+/// Guards against a dispatcher that steps down for a former one, whose heartbeat the network has
+/// delayed.
+#[test]
+fn heartbeat_of_unresponsive_sender_is_ignored() {
+    serve_during(heartbeat(Vec::new()), |receiver, address| async move {
+        let client: peer::Client = connect(address).await.unwrap();
+        let token = beat(&client, 0).await;
+        // Dispatchers send a heartbeat a second to the other VMs.
+        sleep(ms(1_000)).await;
+        beat(&client, token).await;
+        assert_eq!(receiver.heartbeats.get(), 2);
+        sleep(ms(1_100)).await;
+        let token = beat(&client, token).await;
+        assert_eq!(receiver.heartbeats.get(), 2);
+        beat(&client, token).await;
+        assert_eq!(receiver.heartbeats.get(), 3);
+    });
+}
+
 /// Guards against tasks that run on after their caller's deadline: the time to the deadline counted from
 /// the receipt of a submission, however long the network had delayed it.
 #[test]
