--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -8,7 +8,8 @@
     fleet_config::QueueName,
     job_submission::{Step, TaskId},
     mechanism::Mechanism,
-    target::{Run, RunState, StartAnswer, Target, TargetId},
+    start_answer::StartAnswer,
+    target::{Run, RunState, Target, TargetId},
     time::Moment,
 };
 use std::{cmp::Ordering, time::Duration};
@@ -341,6 +342,7 @@
             start_attempts: 1,
             start_answer: StartAnswer::Pending,
             lease_end: lease.end,
+            has_unanswered_start: false,
             pending_lease_end: Some(lease.latest_end),
             expected_duration: best.run_time,
             expected_end: now + best.run_time,
--- a/src/coordination/dispatch/run_log.rs
+++ b/src/coordination/dispatch/run_log.rs
@@ -3,9 +3,10 @@
 use super::{Dispatcher, LogEvent};
 use crate::state::{
     job_submission::{RunNumber, TaskId},
+    start_answer::StartAnswer,
     target::{
-        EndedRun, FencingToken, LossCause, Run, RunOutcome, RunState, StartAnswer, Target,
-        TargetId, TargetIncarnation, TargetReport, TargetTime,
+        EndedRun, FencingToken, LossCause, Run, RunOutcome, RunState, Target, TargetId,
+        TargetIncarnation, TargetReport, TargetTime,
     },
     time::Moment,
 };
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -20,6 +20,7 @@
 pub mod rtt;
 pub mod run_time;
 pub mod shard;
+pub mod start_answer;
 pub mod target;
 pub mod time;
 pub mod token_bucket;
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -5,6 +5,7 @@
     id::ZoneName,
     job_submission::{RunNumber, TaskId},
     resources::{MilliCores, Resources},
+    start_answer::StartAnswer,
     time::Moment,
 };
 use derive_more::{Display, From};
@@ -200,27 +201,6 @@
     },
 }
 
-/// Answer of a target to a start request.
-#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
-pub enum StartAnswer {
-    /// None yet.
-    #[default]
-    #[display("pending")]
-    Pending,
-    /// The run has started.
-    #[display("started")]
-    Started,
-    /// The request was refused.
-    #[display("refused")]
-    Refused,
-    /// No connection could be made.
-    #[display("not_sent")]
-    NotSent,
-    /// No valid answer arrived in time.
-    #[display("unanswered")]
-    Unanswered,
-}
-
 /// A run that may exist on a target.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -244,6 +224,8 @@
     pub start_answer: StartAnswer,
     /// End of the lease in the last start request, on the target's clock.
     pub lease_end: TargetTime,
+    /// Whether a start request was not answered, so that the target may still execute it.
+    pub has_unanswered_start: bool,
     /// Latest end of the lease that the start request grants; `None` once the request is answered
     /// or has timed out.
     pub pending_lease_end: Option<Moment>,
@@ -380,6 +362,9 @@
     pub unknown_runs: IndexSet<(TaskId, RunNumber)>,
     /// Runs of this dispatcher that may exist on the target.
     pub runs: IndexMap<TaskId, Run>,
+    /// Closed runs with a start request that was not answered, and when they were closed. The
+    /// target rejects the request by its clock, but after a restart that begins anew.
+    pub unanswered_starts: IndexMap<TaskId, (RunNumber, Moment)>,
     /// Resources that the runs in `runs` occupy.
     pub used: Resources,
     /// Sequence number of the last end of a run that was processed.
@@ -425,6 +410,7 @@
             clock_lead_ms: 0,
             unknown_runs: IndexSet::new(),
             runs: IndexMap::new(),
+            unanswered_starts: IndexMap::new(),
             used: Resources::default(),
             last_end_sequence: 0,
             lease_end: Moment::ZERO,
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -5,6 +5,7 @@
 //! the jobs that it received over a connection when no heartbeat has arrived for a while.
 
 use super::{
+    heartbeat_timing::time_to_next,
     received_job::{ReceivedJob, ReceivedJobEvent, ReceivedJobGuard},
     rpc::{RpcError, connect_with_timeouts, serve_with},
 };
@@ -28,7 +29,6 @@
     future::Future,
     net::SocketAddr,
     rc::{Rc, Weak},
-    sync::LazyLock,
     time::Duration,
 };
 use tokio::{
@@ -49,19 +49,16 @@
 /// Longest time for which a peer on a sound connection that carries jobs is not proven alive: two
 /// heartbeat intervals, a round trip and the delay of a VM that has used up its processor share.
 const USUAL_UNPROVEN_TIME: Duration = Duration::from_millis(300);
+/// A heartbeat that proves its sender alive longer ago than this is ignored. Heartbeats are sent every
+/// second at the longest, and the sender closes the connection unless each is answered within
+/// [`HEARTBEAT_TIMEOUT`].
+const MAX_HEARTBEAT_AGE: Duration = Duration::from_millis(2_000);
 /// Retry delay of a job that is refused because its sender may have given it up: a sender that is alive
 /// has proven it by then.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Timeout for the reply to a request for a [`Snapshot`].
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Longest interval of heartbeats that are sent together. Those of a dispatcher to all VMs of its zone
-/// are not, since they are many.
-const MAX_ALIGNED_INTERVAL: Duration = Duration::from_millis(200);
-
-/// When this process first sent a heartbeat.
-static FIRST_HEARTBEAT: LazyLock<Instant> = LazyLock::new(Instant::now);
-
 /// Options of a request to run a job.
 #[derive(Clone, Copy, Debug)]
 pub struct DispatchOptions {
@@ -175,7 +172,9 @@
         self.handler.on_peer_alive(self.submitter());
         let heartbeat = read_heartbeat(params.get_beat()?)?;
         self.sender.borrow_mut().get_or_insert_with(|| heartbeat.from.vm.clone());
-        self.handler.on_heartbeat(heartbeat);
+        if self.unproven_for() <= MAX_HEARTBEAT_AGE {
+            self.handler.on_heartbeat(heartbeat);
+        }
         let mut results = results.get();
         results.set_token(self.connected_at.elapsed().as_millis() as u64);
         write_heartbeat(&self.handler.heartbeat(), results.init_beat());
@@ -225,6 +224,11 @@
         mut results: peer::HandOverResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
+        if self.unproven_for() >= UNRESPONSIVE_TIMEOUT {
+            // The sender may have handed its targets over to another VM since.
+            results.get().set_taken(false);
+            return Ok(());
+        }
         let mut kept = Vec::new();
         for id in params.get_kept()? {
             kept.push(TargetId::from(id?.to_str()?));
@@ -467,17 +471,6 @@
     }
 }
 
-/// Time until the next heartbeat. Frequent ones are due at multiples of their interval, so that a VM
-/// which follows several dispatchers wakes up once for all of them.
-fn time_to_next(interval: Duration) -> Duration {
-    if interval > MAX_ALIGNED_INTERVAL {
-        return interval;
-    }
-    let since = FIRST_HEARTBEAT.elapsed();
-    let past = Duration::from_nanos((since.as_nanos() % interval.as_nanos()) as u64);
-    interval - past
-}
-
 /// Sends heartbeats until the connection fails or the last [`Rc`] of it is dropped.
 async fn send_heartbeats<H>(link: Weak<PeerLink>, handler: Weak<H>, interval: Duration)
 where
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -4,6 +4,7 @@
 pub mod callers;
 pub mod fleet;
 pub mod health;
+mod heartbeat_timing;
 pub mod http;
 pub mod load_shed;
 pub mod operators;
--- a/tests/dispatch/run_log.rs
+++ b/tests/dispatch/run_log.rs
@@ -9,9 +9,10 @@
     fleet::decision_log::{DecisionLog, kind},
     state::{
         job_submission::{CallerJobId, RunNumber, TaskId},
+        start_answer::StartAnswer,
         target::{
-            EndedRun, FencingToken, LossCause, RunOutcome, StartAnswer, TargetId,
-            TargetIncarnation, TargetReport, TargetTime,
+            EndedRun, FencingToken, LossCause, RunOutcome, TargetId, TargetIncarnation,
+            TargetReport, TargetTime,
         },
         time::Moment,
     },
