--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -126,7 +126,7 @@
         if incarnation <= target.info.incarnation {
             return;
         }
-        target.info.incarnation = incarnation;
+        let earlier = std::mem::replace(&mut target.info.incarnation, incarnation);
         target.clock = None;
         target.last_end_sequence = 0;
         let unanswered = std::mem::take(&mut target.unanswered_starts);
@@ -139,7 +139,7 @@
         let stops: Vec<Action> = stops.collect();
         self.counts.stops += stops.len() as u64;
         self.actions.extend(stops);
-        self.log(LogEvent::TargetStateChanged { target: id.clone(), state: "a new incarnation" });
+        self.log_restart(id, earlier);
     }
 
     /// Closes all runs of a target as lost.
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -1,9 +1,10 @@
 //! Metrics of a VM in the OpenMetrics text format: counters, gauges and latency histograms.
 
-use super::{Node, TargetClient};
+use super::{Node, TargetClient, entry::UnknownCause};
 use crate::{
     coordination::dispatch::Counts,
     state::job_submission::{Outcome, Refusal},
+    transport::received_job::ReceivedJobEvent,
 };
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -31,6 +32,16 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DecisionLabel {
+    decision: &'static str,
+}
+
 /// Counters and histograms of the jobs that callers sent to this VM.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -38,6 +49,10 @@
     refusals: Family<RefusalLabel, Counter>,
     resumed: Counter,
     redirected: Counter,
+    unknown: Family<CauseLabel, Counter>,
+    callers_gone: Counter,
+    late: Family<DecisionLabel, Counter>,
+    cancelled: Family<CauseLabel, Counter>,
 }
 
 impl Default for Metrics {
@@ -47,6 +62,10 @@
             refusals: Family::default(),
             resumed: Counter::default(),
             redirected: Counter::default(),
+            unknown: Family::default(),
+            callers_gone: Counter::default(),
+            late: Family::default(),
+            cancelled: Family::default(),
         }
     }
 }
@@ -78,6 +97,28 @@
         self.redirected.inc();
     }
 
+    /// Counts a caller's job that was answered as unknown.
+    pub fn unknown(&self, cause: UnknownCause) {
+        self.unknown.get_or_create(&CauseLabel { cause: cause.label() }).inc();
+    }
+
+    /// Counts a job whose caller went away before its answer.
+    pub fn caller_gone(&self) {
+        self.callers_gone.inc();
+    }
+
+    /// Counts a job received from a peer that is silent or gone.
+    pub fn received_job(&self, event: ReceivedJobEvent) {
+        let late = |decision| self.late.get_or_create(&DecisionLabel { decision }).inc();
+        let cancelled = |cause| self.cancelled.get_or_create(&CauseLabel { cause }).inc();
+        match event {
+            ReceivedJobEvent::ArrivedLate => late("run"),
+            ReceivedJobEvent::RefusedAsLate => late("refused"),
+            ReceivedJobEvent::SenderUnresponsive => cancelled("sender_unresponsive"),
+            ReceivedJobEvent::Dropped => cancelled("dropped"),
+        };
+    }
+
     fn register(&self, registry: &mut Registry) {
         let help = "Time from reading a job to its answer, by outcome";
         registry.register("job_seconds", help, self.jobs.clone());
@@ -86,6 +127,14 @@
         registry.register("resumed_jobs", help, self.resumed.clone());
         let help = "Jobs given to another zone's dispatcher";
         registry.register("passed_jobs", help, self.redirected.clone());
+        let help = "Callers' jobs answered as unknown, by cause";
+        registry.register("unknown_outcomes", help, self.unknown.clone());
+        let help = "Jobs whose callers went away before the answer";
+        registry.register("callers_gone", help, self.callers_gone.clone());
+        let help = "Jobs read from a connection whose sender may have given it up, by decision";
+        registry.register("late_submissions", help, self.late.clone());
+        let help = "Jobs of other VMs that were cancelled, by cause";
+        registry.register("cancelled_submissions", help, self.cancelled.clone());
     }
 }
 
@@ -158,6 +207,9 @@
             "Time since the evacuated zones were last read or accepted from a VM, in seconds";
         let age = ConstGauge::new(self.evacuation_age().as_secs_f64());
         registry.register("evacuation_revision_age_seconds", help, age);
+        let help = "Largest lead of the estimate of a target's clock over its latest reading";
+        let lead = core.map_or(Duration::ZERO, |core| core.max_clock_lead());
+        registry.register("clock_lead_seconds", help, ConstGauge::new(lead.as_secs_f64()));
     }
 }
 
@@ -187,6 +239,26 @@
             "Runs lost, by a lease that ran out or with their target",
             counts.lost_runs,
         ),
+        (
+            "expired_runs_silent",
+            "Runs closed by the end of their lease while their target was unresponsive",
+            counts.unusual_runs.expired_silent,
+        ),
+        (
+            "expired_runs_answering",
+            "Runs closed by the end of their lease while their target answered",
+            counts.unusual_runs.expired_answering,
+        ),
+        (
+            "late_runs",
+            "Runs found on a target after this dispatcher had closed them",
+            counts.unusual_runs.late,
+        ),
+        (
+            "unknown_runs",
+            "Runs found on an owned target that this dispatcher did not start there",
+            counts.unusual_runs.unknown,
+        ),
         ("crashing_jobs", "Jobs failed for a task that crashes targets", counts.crashing_jobs),
         ("stragglers", "Runs stopped to start again elsewhere", counts.stragglers),
         ("targets_set_aside", "Times that a target was set aside", counts.ejections),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -37,7 +37,10 @@
         target::{TargetId, TargetInfo, TargetReport, TargetTime},
         time::Moment,
     },
-    transport::fleet::{DispatchOptions, PeerHandler, PeerLink, Submitter},
+    transport::{
+        fleet::{DispatchOptions, PeerHandler, PeerLink, Submitter},
+        received_job::{ReceivedJob, ReceivedJobEvent},
+    },
 };
 use clock::Clock;
 use decision_log::DecisionLog;
@@ -451,6 +454,11 @@
         self.run_locally(submission, options, Some(submitter)).await
     }
 
+    fn on_received_job(&self, job: &ReceivedJob, event: ReceivedJobEvent) {
+        self.metrics.received_job(event);
+        self.decision_log.borrow_mut().log_received_job(job, event, self.clock.now());
+    }
+
     fn take_over(self: &Rc<Self>, epoch: u64, kept: Vec<TargetId>) -> bool {
         self.take_over_from(epoch, kept)
     }
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -4,7 +4,11 @@
 //! the outcome of the jobs that it sent over the connection is then unknown. The serving side stops
 //! the jobs that it received over a connection when no heartbeat has arrived for a while.
 
-use super::rpc::{RpcError, connect_with_timeouts, serve_with};
+use super::{
+    heartbeat_timing::time_to_next,
+    received_job::{ReceivedJob, ReceivedJobEvent, ReceivedJobGuard},
+    rpc::{RpcError, connect_with_timeouts, serve_with},
+};
 use crate::{
     coordination::dispatch::submitters::SubmitterId,
     fleet_capnp::peer,
@@ -14,7 +18,7 @@
         write_evacuated_zones, write_heartbeat, write_job_submission, write_peer,
     },
     state::{
-        id::{ConfigVersion, ZoneName},
+        id::{ConfigVersion, VmName, ZoneName},
         job_submission::{JobSubmission, Outcome, Refusal},
         shard::ShardCount,
         target::TargetId,
@@ -25,7 +29,6 @@
     future::Future,
     net::SocketAddr,
     rc::{Rc, Weak},
-    sync::LazyLock,
     time::Duration,
 };
 use tokio::{
@@ -56,13 +59,6 @@
 /// Timeout for the reply to a request for a [`Snapshot`].
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Longest interval of heartbeats that are sent together. Those of a dispatcher to all VMs of its zone
-/// are not, since they are many.
-const MAX_ALIGNED_INTERVAL: Duration = Duration::from_millis(200);
-
-/// When this process first sent a heartbeat.
-static FIRST_HEARTBEAT: LazyLock<Instant> = LazyLock::new(Instant::now);
-
 /// Options of a request to run a job.
 #[derive(Clone, Copy, Debug)]
 pub struct DispatchOptions {
@@ -100,6 +96,8 @@
         options: DispatchOptions,
         submitter: Submitter,
     ) -> impl Future<Output = DispatchReply>;
+    /// Records something unusual about a job that a peer sent.
+    fn on_received_job(&self, _job: &ReceivedJob, _event: ReceivedJobEvent) {}
     /// Takes over all targets except `kept` from the dispatcher with this epoch; returns false if
     /// this VM declines.
     fn take_over(self: &Rc<Self>, epoch: u64, kept: Vec<TargetId>) -> bool;
@@ -109,15 +107,17 @@
     fn target_list(&self) -> Option<TargetList>;
 }
 
-struct PeerServer<H>
+pub(super) struct PeerServer<H>
 where
     H: PeerHandler,
 {
-    handler: Rc<H>,
+    pub(super) handler: Rc<H>,
     id: SubmitterId,
-    connected_at: Instant,
+    pub(super) connected_at: Instant,
     /// Time from `connected_at` to the latest moment at which the peer was provably alive.
     last_alive: Cell<Duration>,
+    /// Name of the peer, as its heartbeats give it.
+    pub(super) sender: RefCell<Option<VmName>>,
 }
 
 impl<H> Drop for PeerServer<H>
@@ -139,7 +139,7 @@
 
     /// Time for which the peer is not proven to have been alive. What it sent on this connection and
     /// is received now was delayed by no longer than that.
-    fn unproven_for(&self) -> Duration {
+    pub(super) fn unproven_for(&self) -> Duration {
         self.connected_at.elapsed() - self.last_alive.get()
     }
 
@@ -170,8 +170,10 @@
         let alive_at = Duration::from_millis(params.get_echo());
         self.last_alive.set(self.last_alive.get().max(alive_at.min(self.connected_at.elapsed())));
         self.handler.on_peer_alive(self.submitter());
+        let heartbeat = read_heartbeat(params.get_beat()?)?;
+        self.sender.borrow_mut().get_or_insert_with(|| heartbeat.from.vm.clone());
         if self.unproven_for() <= MAX_HEARTBEAT_AGE {
-            self.handler.on_heartbeat(read_heartbeat(params.get_beat()?)?);
+            self.handler.on_heartbeat(heartbeat);
         }
         let mut results = results.get();
         results.set_token(self.connected_at.elapsed().as_millis() as u64);
@@ -191,21 +193,27 @@
             shard_count: ShardCount::from_wire(params.get_shard_count()),
         };
         let mut job = read_job_submission(params.get_work()?)?;
+        let guard = ReceivedJobGuard::new(&self, job.id, options);
         let unproven_for = self.unproven_for();
         if unproven_for >= UNRESPONSIVE_TIMEOUT {
+            guard.end_with(ReceivedJobEvent::RefusedAsLate);
             // The sender may have given this job up, and its caller may have submitted it elsewhere.
             let refused =
                 Outcome::NotRun { refusal: Refusal::Closed, retry_after: STALE_RETRY_AFTER };
             write_dispatch_reply(DispatchReply::Ended(refused), results.get());
             return Ok(());
         }
+        if unproven_for > HEARTBEAT_TIMEOUT {
+            guard.report(ReceivedJobEvent::ArrivedLate);
+        }
         let delay = unproven_for.saturating_sub(USUAL_UNPROVEN_TIME);
         job.time_to_deadline = job.time_to_deadline.saturating_sub(delay);
         let reply = tokio::select! {
             biased;
             reply = self.handler.run(job, options, self.submitter()) => reply,
-            () = self.wait_until_unresponsive() => DispatchReply::Ended(Outcome::Unknown),
+            () = self.wait_until_unresponsive() => guard.cancel(),
         };
+        guard.end();
         write_dispatch_reply(reply, results.get());
         Ok(())
     }
@@ -280,6 +288,7 @@
             id: SubmitterId(connections.get()),
             connected_at: Instant::now(),
             last_alive: Cell::default(),
+            sender: RefCell::default(),
         })
     };
     serve_with(listener, make).await;
@@ -462,17 +471,6 @@
     }
 }
 
-/// Time until the next heartbeat. Frequent ones are due at multiples of their interval, so that a VM
-/// which follows several dispatchers wakes up once for all of them.
-fn time_to_next(interval: Duration) -> Duration {
-    if interval > MAX_ALIGNED_INTERVAL {
-        return interval;
-    }
-    let since = FIRST_HEARTBEAT.elapsed();
-    let past = Duration::from_nanos((since.as_nanos() % interval.as_nanos()) as u64);
-    interval - past
-}
-
 /// Sends heartbeats until the connection fails or the last [`Rc`] of it is dropped.
 async fn send_heartbeats<H>(link: Weak<PeerLink>, handler: Weak<H>, interval: Duration)
 where
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -4,11 +4,13 @@
 pub mod callers;
 pub mod fleet;
 pub mod health;
+mod heartbeat_timing;
 pub mod http;
 pub mod load_shed;
 pub mod operators;
 pub mod peers;
 pub mod platform;
+pub mod received_job;
 pub mod rpc;
 pub mod traffic;
 pub mod workers;
