Start nothing for a submitter that is silent for longer than usual

Cause: a target has one lease for all its runs. A run started for a silent submitter had a short lease of its own, but on a target whose lease had just been renewed for other runs it could last as long as that.

Evidence: the new test starts a run for a submitter that was silent for 0.5 s before the change.

--- a/src/coordination/dispatch/submitters.rs
+++ b/src/coordination/dispatch/submitters.rs
@@ -5,7 +5,7 @@
 //! target may not answer the request to stop them. So no lease lasts longer than the VM is sure to
 //! have been there, plus the time after which callers submit again.
 
-use super::{Dispatcher, SubmissionKey, timing::MIN_LEASE};
+use super::{Dispatcher, SubmissionKey};
 use crate::state::{
     job_submission::JobSubmission,
     target::{Run, TargetId},
@@ -87,8 +87,9 @@
         target.runs.values().filter_map(end_by).min()
     }
 
-    /// Whether so little is known of a job's submitter that no run of it can be started.
+    /// Whether the leases of a job's runs may have to end before the usual ones. No run of it is started
+    /// then, as the lease of its target may be longer already.
     pub(super) fn has_silent_submitter(&self, key: SubmissionKey, now: Moment) -> bool {
-        self.runs_end_by(key).is_some_and(|end| end < now + MIN_LEASE * 2)
+        self.runs_end_by(key).is_some_and(|end| end < now + self.timing.lease_bound)
     }
 }
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -88,6 +88,18 @@
     assert_eq!(sim.start_count(), 0);
 }
 
+/// Guards against a run that outlasts its own lease on a target whose leases were renewed for others: its
+/// entry VM was silent when it was started.
+#[test]
+fn submission_of_briefly_silent_vm_waits_for_its_heartbeat() {
+    let mut sim = Simulation::new(1).take_over();
+    let key = submit_for(&mut sim, 1, ms(400), ms(500));
+    sim.run(ms(50));
+    assert_eq!(sim.start_count(), 0);
+    run_with_heartbeats(&mut sim, ms(600));
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
+
 /// Guards against leases that are not renewed although heartbeats arrive.
 #[test]
 fn run_of_live_submitter_keeps_its_lease() {
