Take over after a suspension only by later reports

What callers saw: nothing yet, found by the model and by a review.

Cause: after a suspension all targets are taken over anew, but a report that was requested before it completed the takeover at once, although another dispatcher may have started runs meanwhile. Resumed jobs didn't wait either: the time since another dispatcher owned the targets went on.

Evidence: the new test starts a task with a report that is 1 s old before the change.

Change: a suspension counts as a time in which others may have owned the targets, and reports from before it take nothing over.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -480,6 +480,8 @@
         for target in self.targets.values_mut() {
             target.taken_over = false;
         }
+        // Another dispatcher may have owned the targets meanwhile.
+        self.sole_owner_since = now;
     }
 
     fn log(&mut self, event: LogEvent) {
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -385,7 +385,9 @@
         for (_, run) in target.runs.iter_mut().filter(|(task, _)| vanished.contains(*task)) {
             run.state = RunState::Vanished { ends_by };
         }
-        if !has_no_foreign_runs || target.taken_over || !target.runs.is_empty() {
+        // A report that was requested before a suspension doesn't show what was started meanwhile.
+        let is_outdated = sent < self.sole_owner_since;
+        if !has_no_foreign_runs || target.taken_over || !target.runs.is_empty() || is_outdated {
             return;
         }
         // Runs that are being stopped are not reported, but occupy the target until they end. Where
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -1,7 +1,7 @@
 //! Orders that targets execute long after they were sent, or never: what is started must have ended
 //! before the caller submits its job again elsewhere.
 
-use crate::simulation::{Fault, LONG, Simulation, ms, submission};
+use crate::simulation::{Fault, LONG, Simulation, ms, submission, target_info};
 use cranberrytray::{
     coordination::dispatch::{SubmissionKey, submitters::SubmitterId},
     state::{job_submission::Outcome, target::RunOutcome},
@@ -178,3 +178,20 @@
     assert!(sim.duplicate_runs.is_empty());
     assert_eq!(sim.outcome(key), Some(Outcome::Completed));
 }
+
+/// Guards against two runs of a task at once: a report that was requested before the process was suspended
+/// completed the takeover after it, though another dispatcher may have started runs meanwhile.
+#[test]
+fn report_from_before_a_suspension_takes_nothing_over() {
+    let mut sim = Simulation::new(1).take_over();
+    let id = target_info(0).id;
+    let sent = sim.now;
+    sim.dispatcher.next_lease_renewal(&id, sent).unwrap();
+    let report = sim.target(0).report(sent);
+    sim.now = sim.now + ms(1_000);
+    sim.dispatcher.on_lease_renewal_reply(&id, sent, Ok(report), sim.now);
+    sim.submit(submission(1, LONG, 1, ms(400)));
+    assert_eq!(sim.start_count(), 0);
+    sim.run(ms(500));
+    assert_eq!(sim.start_count(), 1);
+}
