Date a list of targets by its request

What callers saw: nothing yet, by reading.

Cause: a list counted as read when the response arrived. A VM that was elected during the read took it for newer than its election, on which the check rests that no runs of an earlier dispatcher are left; a list from another VM was taken for as young as it was when it was sent.

Change: a list is as old as its request. No test shows the fault; the window is one read, of some milliseconds usually.

Checked: tests of known targets, shards and dispatch pass.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -224,9 +224,15 @@
         }
     }
 
-    /// Handles the platform's list of targets; `None` if it has not changed since the last read.
+    /// Handles the platform's list of targets as of now; `None` if it has not changed since the last
+    /// read.
     pub fn on_targets_read(self: &Rc<Self>, list: Option<Vec<TargetInfo>>) {
-        self.on_targets_read_at(list, self.clock.now());
+        self.on_targets_read_within(list, Duration::ZERO);
+    }
+
+    /// As [`Node::on_targets_read`], for a list that was requested `took` ago: it may be as old.
+    pub fn on_targets_read_within(self: &Rc<Self>, list: Option<Vec<TargetInfo>>, took: Duration) {
+        self.on_targets_read_at(list, self.clock.now() - took);
     }
 
     fn on_targets_read_at(self: &Rc<Self>, list: Option<Vec<TargetInfo>>, read_at: Moment) {
--- a/src/fleet/shards.rs
+++ b/src/fleet/shards.rs
@@ -248,8 +248,9 @@
             return false;
         }
         let Some(link) = self.shard_link(0).get() else { return false };
+        let requested_at = self.clock.now();
         let Ok(list) = link.target_list().await else { return false };
-        if list.age > MAX_SHARED_LIST_AGE {
+        if list.age + (self.clock.now() - requested_at) > MAX_SHARED_LIST_AGE {
             return false;
         }
         match serde_json::from_slice::<Vec<TargetInfo>>(&list.targets) {
@@ -257,7 +258,7 @@
                 let known = self.known_targets.borrow();
                 let changed = !known.listed().eq(targets.iter());
                 drop(known);
-                let read_at = self.clock.now() - list.age;
+                let read_at = requested_at - list.age;
                 self.on_targets_read_at(changed.then_some(targets), read_at);
                 true
             }
