--- a/src/coordination/dispatch/submitters.rs
+++ b/src/coordination/dispatch/submitters.rs
@@ -1,4 +1,4 @@
-//! Entry VMs that submit jobs for their callers, and how long leases may last because of them.
+//! The entry VMs that submitted the open jobs, and the limit that each sets to the leases of its runs.
 //!
 //! When an entry VM is lost, its callers submit their jobs again, perhaps in another zone. The runs
 //! here must have ended by then, although this dispatcher learns of the loss only by silence and a
@@ -40,8 +40,8 @@
 }
 
 impl Dispatcher {
-    /// As [`Dispatcher::submit`], for a job that another VM submits. That VM was alive at
-    /// `last_alive` at the latest.
+    /// As [`Dispatcher::submit`], for a job that another VM submits. `last_alive` is the latest moment
+    /// at which that VM is known to have been alive.
     pub fn submit_for(
         &mut self,
         submitter: SubmitterId,
