--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -170,9 +170,9 @@
     Restarted {
         /// The target.
         target: TargetId,
-        /// Its new incarnation.
+        /// Incarnation that the target has now.
         incarnation: TargetIncarnation,
-        /// The incarnation before.
+        /// Incarnation that it had before.
         earlier: TargetIncarnation,
         /// Number of runs that were started on the earlier one and are not closed.
         runs: usize,
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -11,6 +11,7 @@
 //! driver takes with [`Dispatcher::take_actions`] and carries out.
 
 pub mod admission;
+mod counts;
 pub mod crashes;
 pub mod evacuation;
 mod fast_targets;
@@ -45,7 +46,8 @@
     time::Moment,
     token_bucket::TokenBucket,
 };
-use derive_more::{Add, Display};
+pub use counts::Counts;
+use derive_more::Display;
 use evacuation::Evacuations;
 use fast_targets::FastLimit;
 use indexmap::{IndexMap, IndexSet};
@@ -175,47 +177,6 @@
     key: SubmissionKey,
 }
 
-/// Counters of one dispatcher, exported as metrics.
-#[derive(Clone, Copy, Debug, Default, Add)]
-pub struct Counts {
-    /// Jobs admitted.
-    pub admitted: u64,
-    /// Jobs refused, at once or while waiting.
-    pub refused: u64,
-    /// Jobs redirected or refused because this dispatcher was far behind its work.
-    pub shed_for_lag: u64,
-    /// Jobs redirected to another zone.
-    pub redirected: u64,
-    /// Jobs redirected to another zone because this one is evacuated.
-    pub evacuation_redirects: u64,
-    /// Jobs of which every task succeeded.
-    pub completed: u64,
-    /// Jobs answered with an unknown outcome, since they may have run.
-    pub unknown: u64,
-    /// Start requests sent, repeated ones included.
-    pub starts: u64,
-    /// Start requests refused because the task didn't fit on the target.
-    pub capacity_refusals: u64,
-    /// Stop requests sent, repeated ones included.
-    pub stops: u64,
-    /// Runs that ended with a failure.
-    pub failed_runs: u64,
-    /// Runs lost to an expired lease or a new incarnation of their target.
-    pub lost_runs: u64,
-    /// Jobs that failed because one of their tasks crashes its targets.
-    pub crashing_jobs: u64,
-    /// Runs stopped to be restarted elsewhere, because they were far behind or would end too late.
-    pub stragglers: u64,
-    /// Runs that were closed without the target's report, or found later.
-    pub unusual_runs: run_log::UnusualRunCounts,
-    /// Outlier ejections of targets.
-    pub ejections: u64,
-    /// Requests that targets rejected because they had seen a higher fencing token.
-    pub fenced_requests: u64,
-    /// Takeovers of the zone by this VM.
-    pub takeovers: u64,
-}
-
 /// Decides which jobs of a zone are run, when, and on which targets.
 #[derive(Debug)]
 pub struct Dispatcher {
--- a/src/coordination/dispatch/run_log.rs
+++ b/src/coordination/dispatch/run_log.rs
@@ -148,7 +148,7 @@
 pub struct ClosedRun {
     /// Outcome with which it was closed.
     pub outcome: RunOutcome,
-    /// What was known of it then.
+    /// What the dispatcher knew of the run when it closed it.
     pub history: RunHistory,
 }
 
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -48,7 +48,7 @@
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(650);
 /// Longest time for which a peer on a sound connection that carries jobs is not proven alive: two
 /// heartbeat intervals, a round trip and the delay of a VM that has used up its processor share.
-const USUAL_UNPROVEN_TIME: Duration = Duration::from_millis(300);
+const USUAL_SILENCE: Duration = Duration::from_millis(300);
 /// A heartbeat that proves its sender alive longer ago than this is ignored. Heartbeats are sent every
 /// second at the longest, and the sender closes the connection unless each is answered within
 /// [`HEARTBEAT_TIMEOUT`].
@@ -134,22 +134,22 @@
     H: PeerHandler,
 {
     fn submitter(&self) -> Submitter {
-        Submitter { id: self.id, silent_for: self.unproven_for() }
+        Submitter { id: self.id, silent_for: self.silent_for() }
     }
 
     /// Time for which the peer is not proven to have been alive. What it sent on this connection and
     /// is received now was delayed by no longer than that.
-    pub(super) fn unproven_for(&self) -> Duration {
+    pub(super) fn silent_for(&self) -> Duration {
         self.connected_at.elapsed() - self.last_alive.get()
     }
 
     async fn wait_until_unresponsive(&self) {
         loop {
-            let unproven_for = self.unproven_for();
-            if unproven_for >= UNRESPONSIVE_TIMEOUT {
+            let silent_for = self.silent_for();
+            if silent_for >= UNRESPONSIVE_TIMEOUT {
                 return;
             }
-            sleep(UNRESPONSIVE_TIMEOUT - unproven_for).await;
+            sleep(UNRESPONSIVE_TIMEOUT - silent_for).await;
         }
     }
 }
@@ -172,7 +172,7 @@
         self.handler.on_peer_alive(self.submitter());
         let heartbeat = read_heartbeat(params.get_beat()?)?;
         self.sender.borrow_mut().get_or_insert_with(|| heartbeat.from.vm.clone());
-        if self.unproven_for() <= MAX_HEARTBEAT_AGE {
+        if self.silent_for() <= MAX_HEARTBEAT_AGE {
             self.handler.on_heartbeat(heartbeat);
         }
         let mut results = results.get();
@@ -194,8 +194,8 @@
         };
         let mut job = read_job_submission(params.get_work()?)?;
         let guard = ReceivedJobGuard::new(&self, job.id, options);
-        let unproven_for = self.unproven_for();
-        if unproven_for >= UNRESPONSIVE_TIMEOUT {
+        let silent_for = self.silent_for();
+        if silent_for >= UNRESPONSIVE_TIMEOUT {
             guard.end_with(ReceivedJobEvent::RefusedAsLate);
             // The sender may have given this job up, and its caller may have submitted it elsewhere.
             let refused =
@@ -203,10 +203,10 @@
             write_dispatch_reply(DispatchReply::Ended(refused), results.get());
             return Ok(());
         }
-        if unproven_for > HEARTBEAT_TIMEOUT {
+        if silent_for > HEARTBEAT_TIMEOUT {
             guard.report(ReceivedJobEvent::ArrivedLate);
         }
-        let delay = unproven_for.saturating_sub(USUAL_UNPROVEN_TIME);
+        let delay = silent_for.saturating_sub(USUAL_SILENCE);
         job.time_to_deadline = job.time_to_deadline.saturating_sub(delay);
         let reply = tokio::select! {
             biased;
@@ -224,7 +224,7 @@
         mut results: peer::HandOverResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
-        if self.unproven_for() >= UNRESPONSIVE_TIMEOUT {
+        if self.silent_for() >= UNRESPONSIVE_TIMEOUT {
             // The sender may have handed its targets over to another VM since.
             results.get().set_taken(false);
             return Ok(());
--- a/src/transport/received_job.rs
+++ b/src/transport/received_job.rs
@@ -107,7 +107,7 @@
             from: self.server.sender.borrow().clone(),
             options: self.options,
             age: self.received_at.elapsed(),
-            silence: self.server.unproven_for(),
+            silence: self.server.silent_for(),
             connected: self.server.connected_at.elapsed(),
         };
         self.server.handler.on_received_job(&job, event);
--- a/tests/late_orders/target.rs
+++ b/tests/late_orders/target.rs
@@ -35,7 +35,7 @@
     pub origin: Origin,
 }
 
-/// Why an order is rejected.
+/// Reason for which a target rejects an order.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Rejection {
     Fenced,
