Wait in tests of shards until every VM reaches every dispatcher

Cause: the test waits until every VM is ready, and is meant to wait until each can submit jobs to all shards. A dispatcher is ready by its role, also while it has no connection to the dispatcher of the other shard yet. The request for that one's list then returns false at once, as it should: the VM reads the store by itself. Ruled out: the age of the list and the timeout of the request (neither occurred), and a fault of the product.

No assertion is changed; all tests of the file wait for more than before.

--- a/src/fleet/shards.rs
+++ b/src/fleet/shards.rs
@@ -128,6 +128,12 @@
         dispatcher.as_ref().is_some_and(|d| d.successor.is_none() && d.shard.index == index)
     }
 
+    /// Whether this VM can submit jobs to the shard with this index of its zone: it dispatches the shard,
+    /// or is connected to its dispatcher.
+    pub fn reaches_shard(&self, index: u16) -> bool {
+        self.dispatches(index) || self.shard_link(index).get().is_some()
+    }
+
     /// The connection to the dispatcher of a shard, open or not.
     pub(super) fn shard_link(&self, index: u16) -> Rc<ShardLink> {
         let mut links = self.division.links.borrow_mut();
--- a/tests/shards.rs
+++ b/tests/shards.rs
@@ -212,7 +212,11 @@
     /// Waits until every VM can submit jobs to each of these shards.
     async fn wait_for(&self, shards: &[u16]) {
         let begun = Instant::now();
-        while self.dispatched() != shards || !self.nodes.iter().all(|node| node.is_ready()) {
+        // A dispatcher is ready although it may not have reached the other shards.
+        let reaches_all = |node: &Rc<Node<IdleTargets>>| {
+            node.is_ready() && shards.iter().all(|index| node.reaches_shard(*index))
+        };
+        while self.dispatched() != shards || !self.nodes.iter().all(reaches_all) {
             let dispatched = self.dispatched();
             assert!(begun.elapsed() < Duration::from_secs(10), "dispatched: {dispatched:?}");
             sleep(Duration::from_millis(20)).await;
