Notice a restarted target whose time of day was set back

What callers saw: nothing yet; found by a review.

Cause: the incarnation of a target is the time of day at its start, and a report with a lower one counted as a late answer of a former incarnation. Where the time of day is set back before a restart, every later report was ignored. Starts went on, with leases on the clock of the former incarnation, which the new one accepts however late they arrive; no run was seen to end.

Evidence: both new tests failed before. late_start_on_target_with_earlier_birth_is_refused: "assertion failed: sim.duplicate_runs.is_empty()" (without the repeat elsewhere: two starts executed 1.2 s late). target_with_earlier_birth_completes_jobs: "left: None, right: Some(Completed)".

Change: processes of one target follow each other, so whoever answers a request that was sent after the present incarnation was known came after it, whatever its number. Answers to earlier requests are compared as before, and the incarnation that was replaced is never the newer one. List entries are still compared by number, as a list may be old: a target that comes back at another address with an earlier birth is not reached there until it has left the list for a while.

Test changed: late_report_of_a_former_incarnation_is_ignored passed the report as the answer to a request sent 370 ms after the former incarnation had ended, which none can be. It is now requested before the restart, and the test has the case of an earlier birth too.

--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -108,14 +108,16 @@
             self.actions.push(Action::Watch(info.id.clone()));
             return;
         };
-        if info.incarnation < target.info.incarnation {
+        if info.incarnation < target.info.incarnation
+            || target.former_incarnation == Some(info.incarnation)
+        {
             return;
         }
         target.cold.update(info, now);
         let is_new = info.incarnation > target.info.incarnation;
         let draining = info.draining || target.info.draining && !is_new;
         target.info = TargetInfo { draining, incarnation: target.info.incarnation, ..info.clone() };
-        self.update_incarnation(&info.id, info.incarnation);
+        self.update_incarnation(&info.id, info.incarnation, now);
     }
 
     /// Closes all runs of a target as lost.
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -304,10 +304,10 @@
     fn on_report(&mut self, id: &TargetId, sent: Moment, report: TargetReport, now: Moment) {
         let Some(target) = self.targets.get_mut(id) else { return };
         if let Some(incarnation) = report.incarnation {
-            if incarnation < target.info.incarnation {
-                return; // The answer of a former incarnation arrived late.
+            if target.is_former(incarnation, sent) {
+                return;
             }
-            self.update_incarnation(id, incarnation);
+            self.update_incarnation(id, incarnation, now);
         }
         let Some(target) = self.targets.get_mut(id) else { return };
         target.record_clock(report.clock, now);
@@ -362,7 +362,7 @@
         let (mut vanished, mut lost_in_restart, mut stopped) = (Vec::new(), Vec::new(), Vec::new());
         let missing = target.runs.iter().filter(|(task, run)| !is_reported(task, run.number));
         for (task, run) in missing {
-            let is_restarted = run.incarnation < target.info.incarnation;
+            let is_restarted = run.incarnation != target.info.incarnation;
             match run.state {
                 RunState::Running { since } if since < sent && is_restarted => {
                     lost_in_restart.push((*task, run.number));
--- a/src/coordination/dispatch/restarts.rs
+++ b/src/coordination/dispatch/restarts.rs
@@ -34,13 +34,24 @@
 }
 
 impl Target {
+    /// Whether the answer to a request that was sent at `sent` comes from an earlier incarnation. A lower
+    /// number alone doesn't show that, since the time of day may have been set back before the restart; but
+    /// whoever answers a request that was sent after the present incarnation was known came after it.
+    pub(super) fn is_former(&self, incarnation: TargetIncarnation, sent: Moment) -> bool {
+        let is_replaced =
+            incarnation < self.info.incarnation || self.former_incarnation == Some(incarnation);
+        is_replaced && sent <= self.incarnation_known_at
+    }
+
     /// Keeps the number of a closed run of which a start request was not answered.
     pub(super) fn record_unanswered_start(&mut self, task: TaskId, run: &Run, closed_at: Moment) {
         let incarnation = run.incarnation;
         let start = UnansweredStart { run: run.number, incarnation, closed_at };
         let known = self.unanswered_starts.entry(task).or_insert(start);
         known.run = known.run.max(run.number);
-        known.incarnation = known.incarnation.min(incarnation);
+        if incarnation != self.info.incarnation {
+            known.incarnation = incarnation;
+        }
         known.closed_at = closed_at;
     }
 }
@@ -49,11 +60,18 @@
     /// Records that a target has a new incarnation, which knows no earlier run and whose clock and
     /// numbers of ended runs begin anew. Start requests that were meant for the former incarnation
     /// may have reached this one, so runs are closed only when its reports lack them.
-    pub(super) fn update_incarnation(&mut self, id: &TargetId, incarnation: TargetIncarnation) {
+    pub(super) fn update_incarnation(
+        &mut self,
+        id: &TargetId,
+        incarnation: TargetIncarnation,
+        now: Moment,
+    ) {
         let Some(target) = self.targets.get_mut(id) else { return };
-        if incarnation <= target.info.incarnation {
+        if incarnation == target.info.incarnation {
             return;
         }
+        target.incarnation_known_at = now;
+        target.former_incarnation = Some(target.info.incarnation);
         let earlier = std::mem::replace(&mut target.info.incarnation, incarnation);
         target.clock = None;
         target.last_end_sequence = 0;
@@ -66,7 +84,7 @@
         let Some(target) = self.targets.get(id) else { return };
         let is_due = |(task, start): &(&TaskId, &UnansweredStart)| {
             let running = target.runs.get(*task);
-            start.incarnation < target.info.incarnation
+            start.incarnation != target.info.incarnation
                 && running.is_none_or(|run| run.number > start.run)
         };
         let due = target.unanswered_starts.iter().filter(is_due);
@@ -82,7 +100,7 @@
         let Some(target) = self.targets.get_mut(id) else { return };
         let incarnation = target.info.incarnation;
         let is_voided =
-            |start: &UnansweredStart| start.run <= number && start.incarnation < incarnation;
+            |start: &UnansweredStart| start.run <= number && start.incarnation != incarnation;
         if target.unanswered_starts.get(&task).is_some_and(is_voided) {
             target.unanswered_starts.swap_remove(&task);
         }
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -256,7 +256,7 @@
 pub struct UnansweredStart {
     /// Highest number of such a run of the task.
     pub run: RunNumber,
-    /// Earliest incarnation of the target that such a request was sent to.
+    /// Incarnation of the target that such a request was sent to; a former one, if any was.
     pub incarnation: TargetIncarnation,
     /// When the last such run was closed.
     pub closed_at: Moment,
@@ -330,6 +330,10 @@
 pub struct Target {
     /// Description of the target in the platform's list.
     pub info: TargetInfo,
+    /// Time at which the incarnation in `info` became known.
+    pub incarnation_known_at: Moment,
+    /// Incarnation that the present one replaced.
+    pub former_incarnation: Option<TargetIncarnation>,
     /// Whether the takeover is complete: no run of an earlier dispatcher is left on the target.
     pub taken_over: bool,
     /// Time at which the takeover was completed.
@@ -387,6 +391,8 @@
         cold.update(&info, now);
         Target {
             info,
+            incarnation_known_at: now,
+            former_incarnation: None,
             taken_over: false,
             foreign_runs_end_by: None,
             taken_over_at: Moment::ZERO,
--- a/tests/dispatch/fake_target.rs
+++ b/tests/dispatch/fake_target.rs
@@ -151,6 +151,13 @@
         };
     }
 
+    /// As [`FakeTarget::restart`] on a machine whose time of day was set back.
+    pub fn restart_with_earlier_birth(&mut self, now: Moment) {
+        let earlier = self.incarnation;
+        self.restart(now);
+        self.incarnation = TargetIncarnation(earlier.0 - 1);
+    }
+
     /// Crashes the target, which is restarted some seconds later under the same name.
     pub fn crash(&mut self, now: Moment) {
         self.restart(now);
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -195,3 +195,33 @@
     sim.run(ms(500));
     assert_eq!(sim.start_count(), 1);
 }
+
+/// Guards against two runs of a task at once: a target that is started again after its time of day was set
+/// back reports a lower incarnation, and starts were sent with leases on the clock of the former one.
+#[test]
+fn late_start_on_target_with_earlier_birth_is_refused() {
+    let mut sim = Simulation::new(2).take_over();
+    sim.run(ms(20_000));
+    let now = sim.now;
+    sim.target(0).restart_with_earlier_birth(now);
+    sim.run(ms(600));
+    sim.target(0).fault = Fault::DelaysStarts(ms(1_200));
+    sim.submit(submission(1, LONG, 1, ms(450)));
+    sim.change_target(0, |info| info.draining = true);
+    sim.run(ms(2_500));
+    assert!(sim.duplicate_runs.is_empty());
+    assert_eq!(sim.target(0).starts, []);
+}
+
+/// Guards against a target whose reports are ignored for good since its incarnation is lower than before.
+#[test]
+fn target_with_earlier_birth_completes_jobs() {
+    let mut sim = Simulation::new(1).take_over();
+    let now = sim.now;
+    sim.target(0).restart_with_earlier_birth(now);
+    sim.run(ms(600));
+    let key = sim.submit(submission(1, LONG, 1, ms(200)));
+    sim.publish_targets();
+    sim.run(ms(400));
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
--- a/tests/dispatch/ownership.rs
+++ b/tests/dispatch/ownership.rs
@@ -232,18 +232,24 @@
 /// A report of the former incarnation that arrives late says nothing of the present one.
 #[test]
 fn late_report_of_a_former_incarnation_is_ignored() {
-    let mut sim = Simulation::new(1).take_over();
-    let now = sim.now;
-    sim.target(0).restart(now);
-    sim.run(ms(320));
-    let key = sim.submit(submission(1, LONG, 2, ms(300)));
-    sim.run(ms(50));
-    let id = target_info(0).id;
-    let late = TargetReport { incarnation: Some(TargetIncarnation(1)), ..TargetReport::default() };
-    sim.dispatcher.on_lease_renewal_reply(&id, sim.now, Ok(late), sim.now);
-    sim.process_actions();
-    sim.run(ms(400));
-    assert_eq!((sim.outcome(key), sim.start_count()), (Some(Outcome::Completed), 2));
+    for has_earlier_birth in [false, true] {
+        let mut sim = Simulation::new(1).take_over();
+        let requested_at = sim.now;
+        match has_earlier_birth {
+            true => sim.target(0).restart_with_earlier_birth(requested_at),
+            false => sim.target(0).restart(requested_at),
+        }
+        sim.run(ms(620));
+        let key = sim.submit(submission(1, LONG, 2, ms(300)));
+        sim.run(ms(50));
+        let id = target_info(0).id;
+        let incarnation = Some(TargetIncarnation(1));
+        let late = TargetReport { incarnation, ..TargetReport::default() };
+        sim.dispatcher.on_lease_renewal_reply(&id, requested_at, Ok(late), sim.now);
+        sim.process_actions();
+        sim.run(ms(400));
+        assert_eq!((sim.outcome(key), sim.start_count()), (Some(Outcome::Completed), 2));
+    }
 }
 
 /// A job that arrives before the first read of the list waits for it instead of being refused.
