Remember unanswered starts of targets that leave the list

What callers saw: nothing yet; found by a review.

Cause: a start that a target has not answered is remembered for 15 s, to void it with a stop should the target be started again. It was kept with the target, which is forgotten when it leaves the list without runs: so after a crash of a few seconds, the case that this is for, nothing was remembered and no stop was sent.

Change: the unanswered starts of a target outlast it in the dispatcher, and return with it. They expire after 15 s as before. A successor does not have them, as before.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -186,6 +186,8 @@
     /// Mechanisms that are switched off.
     disabled: MechanismSet,
     targets: IndexMap<TargetId, Target>,
+    /// Start requests that were not answered by targets which have left the list since.
+    starts_on_unlisted: restarts::StartsOnUnlisted,
     jobs: IndexMap<SubmissionKey, Job>,
     keys_by_job_id: IndexMap<CallerJobId, SubmissionKey>,
     /// Jobs with waiting tasks, in the order in which they are served.
@@ -244,6 +246,7 @@
             timing,
             disabled: MechanismSet::optional(),
             targets: IndexMap::new(),
+            starts_on_unlisted: restarts::StartsOnUnlisted::new(),
             jobs: IndexMap::new(),
             keys_by_job_id: IndexMap::new(),
             queued_jobs: BTreeSet::new(),
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -1,10 +1,6 @@
 //! Ownership of targets: the target list, takeover, lease renewal, expiry and outlier ejection.
 
-use super::{
-    Action, Dispatcher, LogEvent,
-    replies::MIN_PROGRESS_PERCENT,
-    restarts::{MAX_ORDER_DELAY, expired_runs},
-};
+use super::{Action, Dispatcher, LogEvent, replies::MIN_PROGRESS_PERCENT, restarts::expired_runs};
 use crate::state::{
     mechanism::Mechanism,
     target::{
@@ -103,7 +99,9 @@
             if self.handing_over || self.predecessor_targets.contains(&info.id) {
                 return;
             }
-            let target = Target::new(info.clone(), now);
+            let mut target = Target::new(info.clone(), now);
+            target.unanswered_starts =
+                self.starts_on_unlisted.swap_remove(&info.id).unwrap_or_default();
             self.targets.insert(info.id.clone(), target);
             self.actions.push(Action::Watch(info.id.clone()));
             return;
@@ -208,14 +206,16 @@
             });
             self.close_lost_runs(&id, &runs, LossCause::Expired, now);
         }
-        for target in self.targets.values_mut() {
-            target.unanswered_starts.retain(|_, start| now - start.closed_at < MAX_ORDER_DELAY);
-        }
+        self.expire_unanswered_starts(now);
         let is_removable = |t: &&Target| !t.listed && t.runs.is_empty();
         let removable: Vec<TargetId> =
             self.targets.values().filter(is_removable).map(|t| t.info.id.clone()).collect();
         for id in removable {
-            self.targets.swap_remove(&id);
+            let unlisted = self.targets.swap_remove(&id);
+            let starts = unlisted.map(|target| target.unanswered_starts).unwrap_or_default();
+            if !starts.is_empty() {
+                self.starts_on_unlisted.insert(id.clone(), starts);
+            }
             self.crash_history.on_target_gone(&id, now);
             self.log(LogEvent::TargetStateChanged { target: id, state: "gone" });
         }
--- a/src/coordination/dispatch/restarts.rs
+++ b/src/coordination/dispatch/restarts.rs
@@ -10,10 +10,14 @@
     target::{Run, RunState, Target, TargetId, TargetIncarnation, UnansweredStart},
     time::Moment,
 };
+use indexmap::IndexMap;
 use std::time::Duration;
 
 /// Time after which no start request that was not answered is expected to be executed any more.
-pub(super) const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
+
+/// Unanswered starts by target and task.
+pub(super) type StartsOnUnlisted = IndexMap<TargetId, IndexMap<TaskId, UnansweredStart>>;
 
 /// Returns the runs of a target that have ended, as their leases are over and the target doesn't
 /// answer, or not to the stop of a run.
@@ -95,6 +99,18 @@
         self.actions.extend(stops);
     }
 
+    /// Forgets the start requests that are not expected to be executed any more.
+    pub(super) fn expire_unanswered_starts(&mut self, now: Moment) {
+        let is_due = |start: &UnansweredStart| now - start.closed_at < MAX_ORDER_DELAY;
+        for target in self.targets.values_mut() {
+            target.unanswered_starts.retain(|_, start| is_due(start));
+        }
+        self.starts_on_unlisted.retain(|_, starts| {
+            starts.retain(|_, start| is_due(start));
+            !starts.is_empty()
+        });
+    }
+
     /// Forgets the start requests of a task that a confirmed stop has voided.
     pub(super) fn on_start_voided(&mut self, id: &TargetId, task: TaskId, number: RunNumber) {
         let Some(target) = self.targets.get_mut(id) else { return };
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -4,7 +4,10 @@
 use crate::simulation::{Fault, LONG, Simulation, ms, submission, target_info};
 use cranberrytray::{
     coordination::dispatch::{SubmissionKey, submitters::SubmitterId},
-    state::{job_submission::Outcome, target::RunOutcome},
+    state::{
+        job_submission::Outcome,
+        target::{RunOutcome, TargetIncarnation},
+    },
 };
 use std::time::Duration;
 
@@ -225,3 +228,22 @@
     sim.run(ms(400));
     assert_eq!(sim.outcome(key), Some(Outcome::Completed));
 }
+
+/// Guards against a late start that the next incarnation of a target executes, since the start was forgotten
+/// when the target disappeared from the list.
+#[test]
+fn late_start_on_target_listed_again_is_refused() {
+    let mut sim = Simulation::new(2).take_over();
+    sim.run(ms(20_000));
+    sim.target(0).fault = Fault::DelaysStarts(ms(5_000));
+    sim.submit(submission(1, LONG, 1, ms(450)));
+    sim.run(ms(1_200));
+    let now = sim.now;
+    sim.target(0).crash(now);
+    let mut info = sim.unlist_target(0);
+    sim.run(ms(3_400));
+    info.incarnation = TargetIncarnation(2);
+    sim.list_target(info);
+    sim.run(ms(2_600));
+    assert_eq!(sim.target(0).starts, []);
+}
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -204,6 +204,19 @@
         self.publish_targets();
     }
 
+    /// Removes a target from the list and returns its entry.
+    pub fn unlist_target(&mut self, n: usize) -> TargetInfo {
+        let info = self.list.remove(n);
+        self.publish_targets();
+        info
+    }
+
+    /// Adds a target to the list again.
+    pub fn list_target(&mut self, info: TargetInfo) {
+        self.list.push(info);
+        self.publish_targets();
+    }
+
     /// Replaces the set of evacuated zones.
     pub fn set_evacuated_zones(&mut self, zones: &[&str]) {
         self.evacuated_zones = zones.iter().map(|zone| zone.parse().unwrap()).collect();
