Count the leases of a lost dispatcher from when its job was resumed

What callers saw: nothing yet; found by a review.

Cause: a dispatcher that was old enough started a resumed job at once, as the leases that others had granted before its time were over. But another dispatcher may go on beside it, where the two don't reach each other and have no target in common, and may have been the submitter's until a moment ago: split zone, both sides reach the submitter, the dispatcher of one side crashes two seconds later. Its runs last for a lease from then, not from the time at which the other one was elected.

Evidence: resumed_job_waits_for_leases_of_a_dispatcher_lost_just_now failed before: "assertion failed: sim.duplicate_runs.is_empty()".

Change: while a target is not taken over, a resumed job waits for one lease from the later of both moments. Where all targets are taken over, as after most losses, nothing changes.

Not covered: a submitter that loses a dispatcher which goes on, by a reset that only the submitter sees, can be proven alive for up to 0.34 s too long. The limit of its runs is the resubmission delay then.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -66,6 +66,7 @@
         self.check_suspension(now);
         self.last_submission_key += 1;
         let key = SubmissionKey(self.last_submission_key);
+        let resumed_at = resumed.then_some(now);
         if self.handing_over {
             self.refuse(&[key], &submission, Refusal::Closed, MIN_RETRY_AFTER, Duration::ZERO);
         } else if let Some(&first) = self.keys_by_job_id.get(&submission.id) {
@@ -78,9 +79,9 @@
             self.deferred.iter_mut().find(|d| d.submission.id == submission.id)
         {
             earlier.keys.push(key);
-            earlier.resumed |= resumed;
+            earlier.resumed_at = resumed_at.or(earlier.resumed_at);
         } else if self.orphaned_runs.contains_key(&submission.id)
-            || resumed && !self.has_no_earlier_runs(now)
+            || !self.has_no_earlier_runs(resumed_at, now)
             || self.awaits_first_list(now)
         {
             if !self.enables(Mechanism::Deferral) {
@@ -88,7 +89,8 @@
                 return key;
             }
             let keys = vec![key];
-            self.deferred.push(DeferredSubmission { keys, submission, arrived_at: now, resumed });
+            let deferred = DeferredSubmission { keys, submission, arrived_at: now, resumed_at };
+            self.deferred.push(deferred);
         } else if !resumed && self.sheds_for_lag() {
             self.shed_for_lag(key, &submission, may_redirect, now);
             return key;
@@ -100,10 +102,14 @@
         key
     }
 
-    /// Whether no run that an earlier dispatcher started can still exist: either the leases of such
-    /// runs have expired, or every target was taken over and the list is known to be complete.
-    fn has_no_earlier_runs(&self, now: Moment) -> bool {
-        let leases_expired = now - self.sole_owner_since > self.timing.lease_bound;
+    /// Whether no run that an earlier dispatcher started can still exist of a job that was resumed at
+    /// `resumed_at`, if it was: either the leases of such runs have expired, or every target was taken
+    /// over and the list is known to be complete. The submitter may have lost the earlier dispatcher only
+    /// just before it resumed the job.
+    fn has_no_earlier_runs(&self, resumed_at: Option<Moment>, now: Moment) -> bool {
+        let Some(resumed_at) = resumed_at else { return true };
+        let last_renewal = self.sole_owner_since.max(resumed_at);
+        let leases_expired = now - last_renewal > self.timing.lease_bound;
         // A target no longer lists a run that is being stopped, although the run may still exist.
         let has_no_runs = |t: &Target| t.taken_over && now - t.taken_over_at > self.timing.stop;
         let no_runs_on_targets = || self.targets.values().all(has_no_runs);
@@ -117,10 +123,10 @@
         if self.awaits_first_list(now) {
             return;
         }
-        let no_earlier_runs = self.has_no_earlier_runs(now);
         let deferred = std::mem::take(&mut self.deferred);
         let (ready, rest) = deferred.into_iter().partition::<Vec<_>, _>(|d| {
-            !self.orphaned_runs.contains_key(&d.submission.id) && (no_earlier_runs || !d.resumed)
+            !self.orphaned_runs.contains_key(&d.submission.id)
+                && self.has_no_earlier_runs(d.resumed_at, now)
         });
         self.deferred = rest;
         for deferred in ready {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -164,8 +164,9 @@
     keys: Vec<SubmissionKey>,
     submission: JobSubmission,
     arrived_at: Moment,
-    /// Whether runs that an earlier dispatcher started may still exist.
-    resumed: bool,
+    /// When it was last submitted as a job that an earlier dispatcher may have started; `None` if it
+    /// never was.
+    resumed_at: Option<Moment>,
 }
 
 /// Sort key of the queue, most urgent job first.
@@ -227,7 +228,8 @@
     predecessor_targets: IndexSet<TargetId>,
     list_status: TargetListStatus,
     created_at: Moment,
-    /// Moment since which no other dispatcher is known to renew leases in the zone.
+    /// Moment since which no other dispatcher is known to renew leases in the zone. One that this VM
+    /// doesn't reach may still do so on targets that it has not taken over.
     sole_owner_since: Moment,
     actions: Vec<Action>,
 }
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -5,7 +5,7 @@
 use cranberrytray::{
     coordination::dispatch::{SubmissionKey, submitters::SubmitterId},
     state::{
-        job_submission::Outcome,
+        job_submission::{Outcome, TaskId},
         target::{RunOutcome, TargetIncarnation},
     },
 };
@@ -247,3 +247,20 @@
     sim.run(ms(2_600));
     assert_eq!(sim.target(0).starts, []);
 }
+
+/// Guards against two runs of a task at once: a job whose submitter has just lost another dispatcher was
+/// started at once, since this dispatcher was old enough, though it never reached one of the targets.
+#[test]
+fn resumed_job_waits_for_leases_of_a_dispatcher_lost_just_now() {
+    let mut sim = Simulation::new(2);
+    sim.target(0).fault = Fault::Unresponsive;
+    sim.publish_targets();
+    sim.run(ms(2_000));
+    let (job, now) = (submission(1, LONG, 1, ms(400)), sim.now);
+    let task = TaskId { job: job.id, step: 0, index: 0 };
+    sim.target(0).add_earlier_run(task, ms(400), now);
+    let key = sim.submit_with(job, false, true);
+    sim.run(ms(1_500));
+    assert!(sim.duplicate_runs.is_empty());
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
