Allow for slow clocks in the longest duration of a stop

What callers saw: nothing; found by a review.

Cause: a confirmed stop ends within the declared time on the target's clock, which may be 2% slow. Its bound was the declared time and 15 ms, too little where stops may take longer than 0.74 s. No known site declares so.

Evidence: long_stop_on_slow_clock_ends_before_the_next_run, with stops of 1 s that take 1.02 s, failed before at "phase 6 ms": the next run began up to 5 ms before the end of the stopped one.

Change: the bound has the 2%, the 15 ms remain for timers and round trips. With stops of 50 ms it is 66 ms, 1 ms more.

Test changed: the simulated target took the declared time whatever its clock.

--- a/src/coordination/dispatch/timing.rs
+++ b/src/coordination/dispatch/timing.rs
@@ -14,7 +14,7 @@
 pub(super) const MIN_LEASE: Duration = Duration::from_millis(150);
 /// Longest lease that is requested; a longer one only makes takeovers slower.
 const MAX_LEASE: Duration = Duration::from_millis(900);
-/// Added to the longest duration of a stop, for the target's clock and the round trip.
+/// Added to the longest duration of a stop, for late timers and the round trip.
 const STOP_MARGIN: Duration = Duration::from_millis(15);
 /// Time from the end of a stopped run to the start of the next run of its task.
 const RESTART_MARGIN: Duration = Duration::from_millis(10);
@@ -128,7 +128,7 @@
             lease,
             lease_bound: lease + lease * MAX_CLOCK_SLOWNESS_PERCENT / 100 + LEASE_MARGIN,
             renewal_wait: lease / 3,
-            stop: bounds.max_stop + STOP_MARGIN,
+            stop: bounds.max_stop * 100 / (100 - MAX_CLOCK_SLOWNESS_PERCENT) + STOP_MARGIN,
             restart_delay: bounds.max_stop + RESTART_MARGIN,
             resubmit_delay: bounds.resubmit_delay,
             suspension_threshold: lease * 13 / 18,
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -3,7 +3,7 @@
 
 use crate::simulation::{Fault, LONG, Simulation, ms, submission, target_info};
 use cranberrytray::{
-    coordination::dispatch::{SubmissionKey, submitters::SubmitterId},
+    coordination::dispatch::{SubmissionKey, submitters::SubmitterId, timing::RunBounds},
     state::{
         job_submission::{Outcome, TaskId},
         target::{RunOutcome, TargetIncarnation},
@@ -264,3 +264,23 @@
     assert!(sim.duplicate_runs.is_empty());
     assert_eq!(sim.outcome(key), Some(Outcome::Completed));
 }
+
+/// Guards against two runs of a task at once: a slow target clock prolonged a stop by more than was added to
+/// its bound, where stops may take long.
+#[test]
+fn long_stop_on_slow_clock_ends_before_the_next_run() {
+    for phase in 0..25 {
+        let bounds = RunBounds { max_stop: ms(1_000), ..RunBounds::default() };
+        let mut sim = Simulation::with_bounds(2, bounds);
+        sim.targets.values_mut().for_each(|target| target.clock_slowness = 2);
+        let mut sim = sim.take_over();
+        let key = sim.submit(submission(1, LONG, 1, ms(300)));
+        sim.run(ms(100 + phase));
+        sim.dispatcher.cancel(key, sim.now);
+        sim.process_actions();
+        sim.change_target(0, |info| info.draining = true);
+        sim.submit(submission(1, LONG, 1, ms(300)));
+        sim.run(ms(1_400));
+        assert!(sim.duplicate_runs.is_empty(), "phase {phase} ms");
+    }
+}
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -486,7 +486,8 @@
                 target.runs.get_mut(&request.task).filter(|r| r.number == request.run)
                 && run.outcome != RunOutcome::Stopped
             {
-                run.ends_at = Some(now + self.bounds.max_stop);
+                run.ends_at =
+                    Some(now + self.bounds.max_stop * 100 / (100 - target.clock_slowness));
                 run.outcome = RunOutcome::Stopped;
             }
             StopReply::Stopped
