Close no run of a target by an answer from its former address

What callers saw: nothing yet; found by a review.

Cause: an answer that says that another target serves at the address closed all runs of the target at once, so that their tasks were started elsewhere. The answer to a stop of an earlier incarnation's run, sent to the address of that time, can arrive after the next incarnation was listed at another address, has reported, and runs tasks.

Evidence: answer_from_former_address_closes_no_later_run failed before: "assertion failed: sim.duplicate_runs.is_empty()".

Change: such an answer to a request for a run of a former incarnation closes runs of former incarnations only. If the present address is wrong too, the next lease renewal tells, and no start precedes it.

--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -5,7 +5,9 @@
     job_submission::{RunNumber, TaskId},
     mechanism::Mechanism,
     start_answer::StartAnswer,
-    target::{LossCause, Run, RunOutcome, RunState, TargetId, TargetReport, TargetTime},
+    target::{
+        LossCause, Run, RunOutcome, RunState, TargetId, TargetIncarnation, TargetReport, TargetTime,
+    },
     time::Moment,
 };
 use std::time::Duration;
@@ -127,7 +129,8 @@
         self.check_suspension(now);
         let Some(target) = self.targets.get_mut(id) else { return };
         let Some(run) = target.runs.get(&task).filter(|r| r.number == number) else { return };
-        let is_of_incarnation = run.incarnation == target.info.incarnation;
+        let incarnation = run.incarnation;
+        let is_of_incarnation = incarnation == target.info.incarnation;
         if let StartReply::Started(clock) | StartReply::Refused(_, Some(clock)) = reply
             && is_of_incarnation
         {
@@ -159,7 +162,7 @@
             reply if run.start_attempts > 1 => {
                 match reply {
                     StartReply::Refused(StartRefusal::OtherTarget, _) => {
-                        self.on_other_target(id, now)
+                        self.on_other_target(id, Some(incarnation), now)
                     }
                     StartReply::Refused(StartRefusal::Fenced, _) => self.on_fenced(id),
                     _ => self.record_fault(id, now),
@@ -236,7 +239,10 @@
             }
             StartRefusal::Unhealthy | StartRefusal::Invalid => self.record_fault(id, now),
             StartRefusal::Fenced => self.on_fenced(id),
-            StartRefusal::OtherTarget => self.on_other_target(id, now),
+            StartRefusal::OtherTarget => {
+                let incarnation = target.runs.get(&task).map(|run| run.incarnation);
+                self.on_other_target(id, incarnation, now);
+            }
             StartRefusal::LeaseExpired => target.clock = None,
             StartRefusal::StaleRun => {}
         }
@@ -265,7 +271,10 @@
                 }
             }
             StopReply::Fenced => self.on_fenced(id),
-            StopReply::OtherTarget => self.on_other_target(id, now),
+            StopReply::OtherTarget => {
+                let incarnation = run.incarnation;
+                self.on_other_target(id, Some(incarnation), now);
+            }
             StopReply::Unknown => {}
         }
         self.start_waiting_tasks(now);
@@ -292,7 +301,7 @@
         match reply {
             Ok(report) => self.on_report(id, sent, report, now),
             Err(LeaseRenewalError::Fenced) => self.on_fenced(id),
-            Err(LeaseRenewalError::OtherTarget) => self.on_other_target(id, now),
+            Err(LeaseRenewalError::OtherTarget) => self.on_other_target(id, None, now),
             Err(LeaseRenewalError::Unreachable) => {
                 self.mark_unresponsive(id, CONNECTIONS_FAIL, now);
             }
@@ -464,8 +473,21 @@
     }
 
     /// Closes all runs of a target whose address belongs to another target now; the list will have
-    /// that one.
-    fn on_other_target(&mut self, id: &TargetId, now: Moment) {
+    /// that one. `incarnation` is the one whose run the answered request was for, `None` if it was for
+    /// no run: if the list has a later one since, at an address of its own, only earlier runs are over.
+    fn on_other_target(
+        &mut self,
+        id: &TargetId,
+        incarnation: Option<TargetIncarnation>,
+        now: Moment,
+    ) {
+        let Some(target) = self.targets.get(id) else { return };
+        if incarnation.is_some_and(|incarnation| incarnation != target.info.incarnation) {
+            let is_former = |run: &Run| run.incarnation != target.info.incarnation;
+            let former = target.runs.iter().filter(|(_, run)| is_former(run));
+            let former: Vec<_> = former.map(|(task, run)| (*task, run.number)).collect();
+            return self.close_lost_runs(id, &former, LossCause::Replaced, now);
+        }
         self.mark_unresponsive(id, "another target serves at its address", now);
         self.close_all_runs(id, LossCause::Replaced, now);
         self.resolve_losses(id, None, now);
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -3,9 +3,11 @@
 
 use crate::simulation::{Fault, LONG, Simulation, ms, submission, target_info};
 use cranberrytray::{
-    coordination::dispatch::{SubmissionKey, submitters::SubmitterId, timing::RunBounds},
+    coordination::dispatch::{
+        SubmissionKey, replies::StopReply, submitters::SubmitterId, timing::RunBounds,
+    },
     state::{
-        job_submission::{Outcome, TaskId},
+        job_submission::{CallerJobId, Outcome, RunNumber, TaskId},
         target::{RunOutcome, TargetIncarnation},
     },
 };
@@ -284,3 +286,33 @@
         assert!(sim.duplicate_runs.is_empty(), "phase {phase} ms");
     }
 }
+
+/// Guards against two runs of a task at once: the answer to a stop for an earlier incarnation, at an
+/// address that another target has now, closed the runs of the present one.
+#[test]
+fn answer_from_former_address_closes_no_later_run() {
+    let mut sim = Simulation::new(2).take_over();
+    let id = target_info(0).id;
+    let former = sim.submit(submission(1, LONG, 1, ms(400)));
+    sim.run(ms(50));
+    sim.target(0).fault = Fault::LosesStopRequests;
+    sim.dispatcher.cancel(former, sim.now);
+    sim.process_actions();
+    let now = sim.now;
+    sim.target(0).restart(now);
+    sim.change_target(0, |info| {
+        info.incarnation = TargetIncarnation(2);
+        info.address.set_port(9_100);
+    });
+    sim.target(0).next_renewal = now;
+    sim.run(ms(10));
+    let key = sim.submit(submission(2, LONG, 2, ms(400)));
+    assert_ne!(sim.target(0).running(), 0);
+    let task = TaskId { job: CallerJobId(1), step: 0, index: 0 };
+    let reply = StopReply::OtherTarget;
+    sim.dispatcher.on_stop_reply(&id, task, RunNumber(1), reply, sim.now);
+    sim.process_actions();
+    sim.run(ms(500));
+    assert!(sim.duplicate_runs.is_empty());
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
