Drop the reading of a clock that has stood still since

What callers saw: nothing; found by a review.

Cause: of two readings of a target's clock the one with the later lower bound is kept. That is right as long as the clock runs at 98% of the usual speed or more. Once it has stood still, for example with its machine, the earlier reading stays ahead for 50 times as long, and starts are accepted late by as much as the clock stood. The contract names the 2% only, so this is a safeguard against a target that does not keep to it.

Evidence: late_start_on_target_with_held_clock_is_refused, a clock held for 3 s, failed before: "assertion failed: sim.duplicate_runs.is_empty()".

Change: a reading can be behind by no more than the time from the request to the answer. If the estimate is further ahead than that, the new reading is kept. What remains is that time, 0.3 s for a lease renewal that waits.

--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -129,18 +129,17 @@
         self.check_suspension(now);
         let Some(target) = self.targets.get_mut(id) else { return };
         let Some(run) = target.runs.get(&task).filter(|r| r.number == number) else { return };
-        let incarnation = run.incarnation;
+        let (incarnation, start_sent_at) = (run.incarnation, run.start_sent_at);
         let is_of_incarnation = incarnation == target.info.incarnation;
         if let StartReply::Started(clock) | StartReply::Refused(_, Some(clock)) = reply
             && is_of_incarnation
         {
-            target.record_clock(clock, now);
+            target.record_clock(clock, start_sent_at, now);
         }
         let Some(run) = target.runs.get_mut(&task) else { return };
         // A lease that was not sent must not keep the runs of an unreachable target open.
         let lease_end = run.pending_lease_end.take().filter(|_| reply != StartReply::NotSent);
         run.start_answer = reply.into();
-        let start_sent_at = run.start_sent_at;
         target.lease_end = target.lease_end.max(lease_end.unwrap_or_default());
         match reply {
             StartReply::Unknown => {
@@ -319,7 +318,7 @@
             self.update_incarnation(id, incarnation, now);
         }
         let Some(target) = self.targets.get_mut(id) else { return };
-        target.record_clock(report.clock, now);
+        target.record_clock(report.clock, sent, now);
         target.last_report_at = now;
         target.accepted_token = true;
         target.missed_answers = 0;
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -418,12 +418,13 @@
         }
     }
 
-    /// Records a reading of the target's clock. Of two readings the one that gives the later lower
-    /// bound is kept.
-    pub fn record_clock(&mut self, time: TargetTime, now: Moment) {
+    /// Records a reading of the target's clock in the answer to a request that was sent at `sent`. Of
+    /// two readings the one that gives the later lower bound is kept, unless the new one shows that the
+    /// other gives none, as the clock stood still.
+    pub fn record_clock(&mut self, time: TargetTime, sent: Moment, now: Moment) {
         let estimate = self.clock.map_or(time, |clock| clock.earliest_at(now));
         self.clock_lead_ms = estimate.0 as i64 - time.0 as i64;
-        if self.clock.is_none() || estimate <= time {
+        if self.clock.is_none() || estimate <= time || estimate > time.saturating_add(now - sent) {
             self.clock = Some(ClockReading { time, received_at: now });
         }
     }
--- a/tests/dispatch/fake_target.rs
+++ b/tests/dispatch/fake_target.rs
@@ -158,6 +158,11 @@
         self.incarnation = TargetIncarnation(earlier.0 - 1);
     }
 
+    /// Suspends the machine of the target, so that its clock has stood still for `span`.
+    pub fn hold_clock(&mut self, span: Duration) {
+        self.clock_start = self.clock_start + span;
+    }
+
     /// Crashes the target, which is restarted some seconds later under the same name.
     pub fn crash(&mut self, now: Moment) {
         self.restart(now);
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -316,3 +316,19 @@
     assert!(sim.duplicate_runs.is_empty());
     assert_eq!(sim.outcome(key), Some(Outcome::Completed));
 }
+
+/// Guards against two runs of a task at once: the estimate of a clock that stood still was kept for as long
+/// as it was ahead of new readings.
+#[test]
+fn late_start_on_target_with_held_clock_is_refused() {
+    let mut sim = Simulation::new(2).take_over();
+    sim.run(ms(5_000));
+    sim.target(0).hold_clock(ms(3_000));
+    sim.run(ms(600));
+    sim.target(0).fault = Fault::DelaysStarts(ms(1_200));
+    sim.submit(submission(1, LONG, 1, ms(450)));
+    sim.change_target(0, |info| info.draining = true);
+    sim.run(ms(2_500));
+    assert!(sim.duplicate_runs.is_empty());
+    assert_eq!(sim.target(0).starts, []);
+}
