--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -164,8 +164,9 @@
     keys: Vec<SubmissionKey>,
     submission: JobSubmission,
     arrived_at: Moment,
-    /// Whether runs that an earlier dispatcher started may still exist.
-    resumed: bool,
+    /// When it was last submitted as a job that an earlier dispatcher may have started; `None` if it
+    /// never was.
+    resumed_at: Option<Moment>,
 }
 
 /// Sort key of the queue, most urgent job first.
@@ -186,6 +187,8 @@
     /// Mechanisms that are switched off.
     disabled: MechanismSet,
     targets: IndexMap<TargetId, Target>,
+    /// Start requests that were not answered by targets which have left the list since.
+    starts_on_unlisted: restarts::StartsOnUnlisted,
     jobs: IndexMap<SubmissionKey, Job>,
     keys_by_job_id: IndexMap<CallerJobId, SubmissionKey>,
     /// Jobs with waiting tasks, in the order in which they are served.
@@ -225,7 +228,8 @@
     predecessor_targets: IndexSet<TargetId>,
     list_status: TargetListStatus,
     created_at: Moment,
-    /// Moment since which no other dispatcher is known to renew leases in the zone.
+    /// Moment since which no other dispatcher is known to renew leases in the zone. One that this VM
+    /// doesn't reach may still do so on targets that it has not taken over.
     sole_owner_since: Moment,
     actions: Vec<Action>,
 }
@@ -244,6 +248,7 @@
             timing,
             disabled: MechanismSet::optional(),
             targets: IndexMap::new(),
+            starts_on_unlisted: restarts::StartsOnUnlisted::new(),
             jobs: IndexMap::new(),
             keys_by_job_id: IndexMap::new(),
             queued_jobs: BTreeSet::new(),
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -1,10 +1,6 @@
 //! Ownership of targets: the target list, takeover, lease renewal, expiry and outlier ejection.
 
-use super::{
-    Action, Dispatcher, LogEvent,
-    replies::MIN_PROGRESS_PERCENT,
-    restarts::{MAX_ORDER_DELAY, expired_runs},
-};
+use super::{Action, Dispatcher, LogEvent, replies::MIN_PROGRESS_PERCENT, restarts::expired_runs};
 use crate::state::{
     mechanism::Mechanism,
     target::{
@@ -103,19 +99,23 @@
             if self.handing_over || self.predecessor_targets.contains(&info.id) {
                 return;
             }
-            let target = Target::new(info.clone(), now);
+            let mut target = Target::new(info.clone(), now);
+            target.unanswered_starts =
+                self.starts_on_unlisted.swap_remove(&info.id).unwrap_or_default();
             self.targets.insert(info.id.clone(), target);
             self.actions.push(Action::Watch(info.id.clone()));
             return;
         };
-        if info.incarnation < target.info.incarnation {
+        if info.incarnation < target.info.incarnation
+            || target.former_incarnation == Some(info.incarnation)
+        {
             return;
         }
         target.cold.update(info, now);
         let is_new = info.incarnation > target.info.incarnation;
         let draining = info.draining || target.info.draining && !is_new;
         target.info = TargetInfo { draining, incarnation: target.info.incarnation, ..info.clone() };
-        self.update_incarnation(&info.id, info.incarnation);
+        self.update_incarnation(&info.id, info.incarnation, now);
     }
 
     /// Closes all runs of a target as lost.
@@ -206,14 +206,16 @@
             });
             self.close_lost_runs(&id, &runs, LossCause::Expired, now);
         }
-        for target in self.targets.values_mut() {
-            target.unanswered_starts.retain(|_, start| now - start.closed_at < MAX_ORDER_DELAY);
-        }
+        self.expire_unanswered_starts(now);
         let is_removable = |t: &&Target| !t.listed && t.runs.is_empty();
         let removable: Vec<TargetId> =
             self.targets.values().filter(is_removable).map(|t| t.info.id.clone()).collect();
         for id in removable {
-            self.targets.swap_remove(&id);
+            let unlisted = self.targets.swap_remove(&id);
+            let starts = unlisted.map(|target| target.unanswered_starts).unwrap_or_default();
+            if !starts.is_empty() {
+                self.starts_on_unlisted.insert(id.clone(), starts);
+            }
             self.crash_history.on_target_gone(&id, now);
             self.log(LogEvent::TargetStateChanged { target: id, state: "gone" });
         }
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -5,7 +5,9 @@
     job_submission::{RunNumber, TaskId},
     mechanism::Mechanism,
     start_answer::StartAnswer,
-    target::{LossCause, Run, RunOutcome, RunState, TargetId, TargetReport, TargetTime},
+    target::{
+        LossCause, Run, RunOutcome, RunState, TargetId, TargetIncarnation, TargetReport, TargetTime,
+    },
     time::Moment,
 };
 use std::time::Duration;
@@ -127,17 +129,17 @@
         self.check_suspension(now);
         let Some(target) = self.targets.get_mut(id) else { return };
         let Some(run) = target.runs.get(&task).filter(|r| r.number == number) else { return };
-        let is_of_incarnation = run.incarnation == target.info.incarnation;
+        let (incarnation, start_sent_at) = (run.incarnation, run.start_sent_at);
+        let is_of_incarnation = incarnation == target.info.incarnation;
         if let StartReply::Started(clock) | StartReply::Refused(_, Some(clock)) = reply
             && is_of_incarnation
         {
-            target.record_clock(clock, now);
+            target.record_clock(clock, start_sent_at, now);
         }
         let Some(run) = target.runs.get_mut(&task) else { return };
         // A lease that was not sent must not keep the runs of an unreachable target open.
         let lease_end = run.pending_lease_end.take().filter(|_| reply != StartReply::NotSent);
         run.start_answer = reply.into();
-        let start_sent_at = run.start_sent_at;
         target.lease_end = target.lease_end.max(lease_end.unwrap_or_default());
         match reply {
             StartReply::Unknown => {
@@ -159,7 +161,7 @@
             reply if run.start_attempts > 1 => {
                 match reply {
                     StartReply::Refused(StartRefusal::OtherTarget, _) => {
-                        self.on_other_target(id, now)
+                        self.on_other_target(id, Some(incarnation), now)
                     }
                     StartReply::Refused(StartRefusal::Fenced, _) => self.on_fenced(id),
                     _ => self.record_fault(id, now),
@@ -236,7 +238,10 @@
             }
             StartRefusal::Unhealthy | StartRefusal::Invalid => self.record_fault(id, now),
             StartRefusal::Fenced => self.on_fenced(id),
-            StartRefusal::OtherTarget => self.on_other_target(id, now),
+            StartRefusal::OtherTarget => {
+                let incarnation = target.runs.get(&task).map(|run| run.incarnation);
+                self.on_other_target(id, incarnation, now);
+            }
             StartRefusal::LeaseExpired => target.clock = None,
             StartRefusal::StaleRun => {}
         }
@@ -265,7 +270,10 @@
                 }
             }
             StopReply::Fenced => self.on_fenced(id),
-            StopReply::OtherTarget => self.on_other_target(id, now),
+            StopReply::OtherTarget => {
+                let incarnation = run.incarnation;
+                self.on_other_target(id, Some(incarnation), now);
+            }
             StopReply::Unknown => {}
         }
         self.start_waiting_tasks(now);
@@ -292,7 +300,7 @@
         match reply {
             Ok(report) => self.on_report(id, sent, report, now),
             Err(LeaseRenewalError::Fenced) => self.on_fenced(id),
-            Err(LeaseRenewalError::OtherTarget) => self.on_other_target(id, now),
+            Err(LeaseRenewalError::OtherTarget) => self.on_other_target(id, None, now),
             Err(LeaseRenewalError::Unreachable) => {
                 self.mark_unresponsive(id, CONNECTIONS_FAIL, now);
             }
@@ -304,13 +312,13 @@
     fn on_report(&mut self, id: &TargetId, sent: Moment, report: TargetReport, now: Moment) {
         let Some(target) = self.targets.get_mut(id) else { return };
         if let Some(incarnation) = report.incarnation {
-            if incarnation < target.info.incarnation {
-                return; // The answer of a former incarnation arrived late.
+            if target.is_former(incarnation, sent) {
+                return;
             }
-            self.update_incarnation(id, incarnation);
+            self.update_incarnation(id, incarnation, now);
         }
         let Some(target) = self.targets.get_mut(id) else { return };
-        target.record_clock(report.clock, now);
+        target.record_clock(report.clock, sent, now);
         target.last_report_at = now;
         target.accepted_token = true;
         target.missed_answers = 0;
@@ -362,7 +370,7 @@
         let (mut vanished, mut lost_in_restart, mut stopped) = (Vec::new(), Vec::new(), Vec::new());
         let missing = target.runs.iter().filter(|(task, run)| !is_reported(task, run.number));
         for (task, run) in missing {
-            let is_restarted = run.incarnation < target.info.incarnation;
+            let is_restarted = run.incarnation != target.info.incarnation;
             match run.state {
                 RunState::Running { since } if since < sent && is_restarted => {
                     lost_in_restart.push((*task, run.number));
@@ -464,8 +472,21 @@
     }
 
     /// Closes all runs of a target whose address belongs to another target now; the list will have
-    /// that one.
-    fn on_other_target(&mut self, id: &TargetId, now: Moment) {
+    /// that one. `incarnation` is the one whose run the answered request was for, `None` if it was for
+    /// no run: if the list has a later one since, at an address of its own, only earlier runs are over.
+    fn on_other_target(
+        &mut self,
+        id: &TargetId,
+        incarnation: Option<TargetIncarnation>,
+        now: Moment,
+    ) {
+        let Some(target) = self.targets.get(id) else { return };
+        if incarnation.is_some_and(|incarnation| incarnation != target.info.incarnation) {
+            let is_former = |run: &Run| run.incarnation != target.info.incarnation;
+            let former = target.runs.iter().filter(|(_, run)| is_former(run));
+            let former: Vec<_> = former.map(|(task, run)| (*task, run.number)).collect();
+            return self.close_lost_runs(id, &former, LossCause::Replaced, now);
+        }
         self.mark_unresponsive(id, "another target serves at its address", now);
         self.close_all_runs(id, LossCause::Replaced, now);
         self.resolve_losses(id, None, now);
--- a/src/coordination/dispatch/restarts.rs
+++ b/src/coordination/dispatch/restarts.rs
@@ -10,10 +10,14 @@
     target::{Run, RunState, Target, TargetId, TargetIncarnation, UnansweredStart},
     time::Moment,
 };
+use indexmap::IndexMap;
 use std::time::Duration;
 
 /// Time after which no start request that was not answered is expected to be executed any more.
-pub(super) const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
+
+/// Unanswered starts by target and task.
+pub(super) type StartsOnUnlisted = IndexMap<TargetId, IndexMap<TaskId, UnansweredStart>>;
 
 /// Returns the runs of a target that have ended, as their leases are over and the target doesn't
 /// answer, or not to the stop of a run.
@@ -34,13 +38,24 @@
 }
 
 impl Target {
+    /// Whether the answer to a request that was sent at `sent` comes from an earlier incarnation. A lower
+    /// number alone doesn't show that, since the time of day may have been set back before the restart; but
+    /// whoever answers a request that was sent after the present incarnation was known came after it.
+    pub(super) fn is_former(&self, incarnation: TargetIncarnation, sent: Moment) -> bool {
+        let is_replaced =
+            incarnation < self.info.incarnation || self.former_incarnation == Some(incarnation);
+        is_replaced && sent <= self.incarnation_known_at
+    }
+
     /// Keeps the number of a closed run of which a start request was not answered.
     pub(super) fn record_unanswered_start(&mut self, task: TaskId, run: &Run, closed_at: Moment) {
         let incarnation = run.incarnation;
         let start = UnansweredStart { run: run.number, incarnation, closed_at };
         let known = self.unanswered_starts.entry(task).or_insert(start);
         known.run = known.run.max(run.number);
-        known.incarnation = known.incarnation.min(incarnation);
+        if incarnation != self.info.incarnation {
+            known.incarnation = incarnation;
+        }
         known.closed_at = closed_at;
     }
 }
@@ -49,11 +64,18 @@
     /// Records that a target has a new incarnation, which knows no earlier run and whose clock and
     /// numbers of ended runs begin anew. Start requests that were meant for the former incarnation
     /// may have reached this one, so runs are closed only when its reports lack them.
-    pub(super) fn update_incarnation(&mut self, id: &TargetId, incarnation: TargetIncarnation) {
+    pub(super) fn update_incarnation(
+        &mut self,
+        id: &TargetId,
+        incarnation: TargetIncarnation,
+        now: Moment,
+    ) {
         let Some(target) = self.targets.get_mut(id) else { return };
-        if incarnation <= target.info.incarnation {
+        if incarnation == target.info.incarnation {
             return;
         }
+        target.incarnation_known_at = now;
+        target.former_incarnation = Some(target.info.incarnation);
         let earlier = std::mem::replace(&mut target.info.incarnation, incarnation);
         target.clock = None;
         target.last_end_sequence = 0;
@@ -66,7 +88,7 @@
         let Some(target) = self.targets.get(id) else { return };
         let is_due = |(task, start): &(&TaskId, &UnansweredStart)| {
             let running = target.runs.get(*task);
-            start.incarnation < target.info.incarnation
+            start.incarnation != target.info.incarnation
                 && running.is_none_or(|run| run.number > start.run)
         };
         let due = target.unanswered_starts.iter().filter(is_due);
@@ -77,12 +99,24 @@
         self.actions.extend(stops);
     }
 
+    /// Forgets the start requests that are not expected to be executed any more.
+    pub(super) fn expire_unanswered_starts(&mut self, now: Moment) {
+        let is_due = |start: &UnansweredStart| now - start.closed_at < MAX_ORDER_DELAY;
+        for target in self.targets.values_mut() {
+            target.unanswered_starts.retain(|_, start| is_due(start));
+        }
+        self.starts_on_unlisted.retain(|_, starts| {
+            starts.retain(|_, start| is_due(start));
+            !starts.is_empty()
+        });
+    }
+
     /// Forgets the start requests of a task that a confirmed stop has voided.
     pub(super) fn on_start_voided(&mut self, id: &TargetId, task: TaskId, number: RunNumber) {
         let Some(target) = self.targets.get_mut(id) else { return };
         let incarnation = target.info.incarnation;
         let is_voided =
-            |start: &UnansweredStart| start.run <= number && start.incarnation < incarnation;
+            |start: &UnansweredStart| start.run <= number && start.incarnation != incarnation;
         if target.unanswered_starts.get(&task).is_some_and(is_voided) {
             target.unanswered_starts.swap_remove(&task);
         }
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -256,7 +256,7 @@
 pub struct UnansweredStart {
     /// Highest number of such a run of the task.
     pub run: RunNumber,
-    /// Earliest incarnation of the target that such a request was sent to.
+    /// Incarnation of the target that such a request was sent to; a former one, if any was.
     pub incarnation: TargetIncarnation,
     /// When the last such run was closed.
     pub closed_at: Moment,
@@ -330,6 +330,10 @@
 pub struct Target {
     /// Description of the target in the platform's list.
     pub info: TargetInfo,
+    /// Time at which the incarnation in `info` became known.
+    pub incarnation_known_at: Moment,
+    /// Incarnation that the present one replaced.
+    pub former_incarnation: Option<TargetIncarnation>,
     /// Whether the takeover is complete: no run of an earlier dispatcher is left on the target.
     pub taken_over: bool,
     /// Time at which the takeover was completed.
@@ -387,6 +391,8 @@
         cold.update(&info, now);
         Target {
             info,
+            incarnation_known_at: now,
+            former_incarnation: None,
             taken_over: false,
             foreign_runs_end_by: None,
             taken_over_at: Moment::ZERO,
@@ -412,12 +418,13 @@
         }
     }
 
-    /// Records a reading of the target's clock. Of two readings the one that gives the later lower
-    /// bound is kept.
-    pub fn record_clock(&mut self, time: TargetTime, now: Moment) {
+    /// Records a reading of the target's clock in the answer to a request that was sent at `sent`. Of
+    /// two readings the one that gives the later lower bound is kept, unless the new one shows that the
+    /// other gives none, as the clock stood still.
+    pub fn record_clock(&mut self, time: TargetTime, sent: Moment, now: Moment) {
         let estimate = self.clock.map_or(time, |clock| clock.earliest_at(now));
         self.clock_lead_ms = estimate.0 as i64 - time.0 as i64;
-        if self.clock.is_none() || estimate <= time {
+        if self.clock.is_none() || estimate <= time || estimate > time.saturating_add(now - sent) {
             self.clock = Some(ClockReading { time, received_at: now });
         }
     }
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -3,8 +3,13 @@
 
 use crate::simulation::{Fault, LONG, Simulation, ms, submission, target_info};
 use cranberrytray::{
-    coordination::dispatch::{SubmissionKey, submitters::SubmitterId},
-    state::{job_submission::Outcome, target::RunOutcome},
+    coordination::dispatch::{
+        SubmissionKey, replies::StopReply, submitters::SubmitterId, timing::RunBounds,
+    },
+    state::{
+        job_submission::{CallerJobId, Outcome, RunNumber, TaskId},
+        target::{RunOutcome, TargetIncarnation},
+    },
 };
 use std::time::Duration;
 
@@ -195,3 +200,135 @@
     sim.run(ms(500));
     assert_eq!(sim.start_count(), 1);
 }
+
+/// Guards against two runs of a task at once: a target that is started again after its time of day was set
+/// back reports a lower incarnation, and starts were sent with leases on the clock of the former one.
+#[test]
+fn late_start_on_target_with_earlier_birth_is_refused() {
+    let mut sim = Simulation::new(2).take_over();
+    sim.run(ms(20_000));
+    let now = sim.now;
+    sim.target(0).restart_with_earlier_birth(now);
+    sim.run(ms(600));
+    sim.target(0).fault = Fault::DelaysStarts(ms(1_200));
+    sim.submit(submission(1, LONG, 1, ms(450)));
+    sim.change_target(0, |info| info.draining = true);
+    sim.run(ms(2_500));
+    assert!(sim.duplicate_runs.is_empty());
+    assert_eq!(sim.target(0).starts, []);
+}
+
+/// Guards against a target whose reports are ignored for good since its incarnation is lower than before.
+#[test]
+fn target_with_earlier_birth_completes_jobs() {
+    let mut sim = Simulation::new(1).take_over();
+    let now = sim.now;
+    sim.target(0).restart_with_earlier_birth(now);
+    sim.run(ms(600));
+    let key = sim.submit(submission(1, LONG, 1, ms(200)));
+    sim.publish_targets();
+    sim.run(ms(400));
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
+
+/// Guards against a late start that the next incarnation of a target executes, since the start was forgotten
+/// when the target disappeared from the list.
+#[test]
+fn late_start_on_target_listed_again_is_refused() {
+    let mut sim = Simulation::new(2).take_over();
+    sim.run(ms(20_000));
+    sim.target(0).fault = Fault::DelaysStarts(ms(5_000));
+    sim.submit(submission(1, LONG, 1, ms(450)));
+    sim.run(ms(1_200));
+    let now = sim.now;
+    sim.target(0).crash(now);
+    let mut info = sim.unlist_target(0);
+    sim.run(ms(3_400));
+    info.incarnation = TargetIncarnation(2);
+    sim.list_target(info);
+    sim.run(ms(2_600));
+    assert_eq!(sim.target(0).starts, []);
+}
+
+/// Guards against two runs of a task at once: a job whose submitter has just lost another dispatcher was
+/// started at once, since this dispatcher was old enough, though it never reached one of the targets.
+#[test]
+fn resumed_job_waits_for_leases_of_a_dispatcher_lost_just_now() {
+    let mut sim = Simulation::new(2);
+    sim.target(0).fault = Fault::Unresponsive;
+    sim.publish_targets();
+    sim.run(ms(2_000));
+    let (job, now) = (submission(1, LONG, 1, ms(400)), sim.now);
+    let task = TaskId { job: job.id, step: 0, index: 0 };
+    sim.target(0).add_earlier_run(task, ms(400), now);
+    let key = sim.submit_with(job, false, true);
+    sim.run(ms(1_500));
+    assert!(sim.duplicate_runs.is_empty());
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
+
+/// Guards against two runs of a task at once: a slow target clock prolonged a stop by more than was added to
+/// its bound, where stops may take long.
+#[test]
+fn long_stop_on_slow_clock_ends_before_the_next_run() {
+    for phase in 0..25 {
+        let bounds = RunBounds { max_stop: ms(1_000), ..RunBounds::default() };
+        let mut sim = Simulation::with_bounds(2, bounds);
+        sim.targets.values_mut().for_each(|target| target.clock_slowness = 2);
+        let mut sim = sim.take_over();
+        let key = sim.submit(submission(1, LONG, 1, ms(300)));
+        sim.run(ms(100 + phase));
+        sim.dispatcher.cancel(key, sim.now);
+        sim.process_actions();
+        sim.change_target(0, |info| info.draining = true);
+        sim.submit(submission(1, LONG, 1, ms(300)));
+        sim.run(ms(1_400));
+        assert!(sim.duplicate_runs.is_empty(), "phase {phase} ms");
+    }
+}
+
+/// Guards against two runs of a task at once: the answer to a stop for an earlier incarnation, at an
+/// address that another target has now, closed the runs of the present one.
+#[test]
+fn answer_from_former_address_closes_no_later_run() {
+    let mut sim = Simulation::new(2).take_over();
+    let id = target_info(0).id;
+    let former = sim.submit(submission(1, LONG, 1, ms(400)));
+    sim.run(ms(50));
+    sim.target(0).fault = Fault::LosesStopRequests;
+    sim.dispatcher.cancel(former, sim.now);
+    sim.process_actions();
+    let now = sim.now;
+    sim.target(0).restart(now);
+    sim.change_target(0, |info| {
+        info.incarnation = TargetIncarnation(2);
+        info.address.set_port(9_100);
+    });
+    sim.target(0).next_renewal = now;
+    sim.run(ms(10));
+    let key = sim.submit(submission(2, LONG, 2, ms(400)));
+    assert_ne!(sim.target(0).running(), 0);
+    let task = TaskId { job: CallerJobId(1), step: 0, index: 0 };
+    let reply = StopReply::OtherTarget;
+    sim.dispatcher.on_stop_reply(&id, task, RunNumber(1), reply, sim.now);
+    sim.process_actions();
+    sim.run(ms(500));
+    assert!(sim.duplicate_runs.is_empty());
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
+
+/// Guards against two runs of a task at once: the estimate of a clock that stood still was kept for as long
+/// as it was ahead of new readings.
+#[test]
+fn late_start_on_target_with_held_clock_is_refused() {
+    let mut sim = Simulation::new(2).take_over();
+    sim.run(ms(5_000));
+    sim.target(0).hold_clock(ms(3_000));
+    sim.run(ms(600));
+    sim.target(0).fault = Fault::DelaysStarts(ms(1_200));
+    sim.submit(submission(1, LONG, 1, ms(450)));
+    sim.change_target(0, |info| info.draining = true);
+    sim.run(ms(2_500));
+    assert!(sim.duplicate_runs.is_empty());
+    assert_eq!(sim.target(0).starts, []);
+}
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -204,6 +204,19 @@
         self.publish_targets();
     }
 
+    /// Removes a target from the list and returns its entry.
+    pub fn unlist_target(&mut self, n: usize) -> TargetInfo {
+        let info = self.list.remove(n);
+        self.publish_targets();
+        info
+    }
+
+    /// Adds a target to the list again.
+    pub fn list_target(&mut self, info: TargetInfo) {
+        self.list.push(info);
+        self.publish_targets();
+    }
+
     /// Replaces the set of evacuated zones.
     pub fn set_evacuated_zones(&mut self, zones: &[&str]) {
         self.evacuated_zones = zones.iter().map(|zone| zone.parse().unwrap()).collect();
@@ -473,7 +486,8 @@
                 target.runs.get_mut(&request.task).filter(|r| r.number == request.run)
                 && run.outcome != RunOutcome::Stopped
             {
-                run.ends_at = Some(now + self.bounds.max_stop);
+                run.ends_at =
+                    Some(now + self.bounds.max_stop * 100 / (100 - target.clock_slowness));
                 run.outcome = RunOutcome::Stopped;
             }
             StopReply::Stopped
