Wait for runs on targets that a successor doesn't reach or know

What callers could see: a job that lost its dispatcher runs twice at once.

Cause, three gaps in what a successor counts with before it starts a resumed job:

* It regarded all earlier leases as over 0.96 s after its own election.
A rival that lives on renews leases on targets which only it reaches, until the entry VM has given it up.
Shortest schedule: both dispatch, the successor is older than 0.96 s and doesn't reach a target; an entry VM moves from the rival to it; the job starts at once, beside the run that the rival renewed.
* A dispatcher went on starting tasks on a target that the list lacks for as long as it had runs there; under load, always.
* The list counted as complete although an entry had been removed seconds ago.
Shortest schedule: a target doesn't reach the store; a standby drops it 2.5 s after a read without it; the dispatcher, which uses it until later, is killed; the standby has taken all listed targets over 0.2 s later and starts the job, beside a run there whose lease lasts up to 0.96 s.

Ruled out: a job that its caller submits again. The lease of its run ends 1.3 s after the last proof of its entry VM whatever the target, and the caller waits as long.

Change: leases count as over 0.96 s after the resumed job has arrived; the entry VM's silence ends the job at the rival before that. No start on a target that the list lacks after the grace period. The list covers all targets in use only if it was readable, and no entry of a target that wasn't draining was removed, for 4.6 s and the longest run.

Weighed: only waiting for leases, without the shortcut for targets that were all taken over, would also cover a predecessor that can't read the store, but would delay each resumed job by 0.96 s.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -78,17 +78,24 @@
             self.deferred.iter_mut().find(|d| d.submission.id == submission.id)
         {
             earlier.keys.push(key);
-            earlier.resumed |= resumed;
+            if resumed {
+                earlier.resumed_at = Some(now);
+            }
         } else if self.orphaned_runs.contains_key(&submission.id)
-            || resumed && !self.has_no_earlier_runs(now)
+            || resumed && !self.has_no_earlier_runs(now, now)
             || self.awaits_first_list(now)
         {
             if !self.enables(Mechanism::Deferral) {
                 self.answer(&[key], submission.id, Outcome::Unknown);
                 return key;
             }
-            let keys = vec![key];
-            self.deferred.push(DeferredSubmission { keys, submission, arrived_at: now, resumed });
+            let deferred = DeferredSubmission {
+                keys: vec![key],
+                submission,
+                arrived_at: now,
+                resumed_at: resumed.then_some(now),
+            };
+            self.deferred.push(deferred);
         } else if !resumed && self.sheds_for_lag() {
             self.shed_for_lag(key, &submission, may_redirect, now);
             return key;
@@ -100,10 +107,13 @@
         key
     }
 
-    /// Whether no run that an earlier dispatcher started can still exist: either the leases of such
-    /// runs have expired, or every target was taken over and the list is known to be complete.
-    fn has_no_earlier_runs(&self, now: Moment) -> bool {
-        let leases_expired = now - self.sole_owner_since > self.timing.lease_bound;
+    /// Whether no run of a job that arrived at `arrived_at` and that an earlier dispatcher started can
+    /// still exist: either the leases of such runs have expired, or every target was taken over and the
+    /// list is known to be complete. Until the entry VM gave the earlier dispatcher up, that one may
+    /// have renewed leases on targets which this one doesn't reach.
+    fn has_no_earlier_runs(&self, arrived_at: Moment, now: Moment) -> bool {
+        let renewed_until = self.sole_owner_since.max(arrived_at);
+        let leases_expired = now - renewed_until > self.timing.lease_bound;
         // A target no longer lists a run that is being stopped, although the run may still exist.
         let has_no_runs = |t: &Target| t.taken_over && now - t.taken_over_at > self.timing.stop;
         let no_runs_on_targets = || self.targets.values().all(has_no_runs);
@@ -117,10 +127,10 @@
         if self.awaits_first_list(now) {
             return;
         }
-        let no_earlier_runs = self.has_no_earlier_runs(now);
         let deferred = std::mem::take(&mut self.deferred);
         let (ready, rest) = deferred.into_iter().partition::<Vec<_>, _>(|d| {
-            !self.orphaned_runs.contains_key(&d.submission.id) && (no_earlier_runs || !d.resumed)
+            !self.orphaned_runs.contains_key(&d.submission.id)
+                && d.resumed_at.is_none_or(|at| self.has_no_earlier_runs(at, now))
         });
         self.deferred = rest;
         for deferred in ready {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -164,8 +164,9 @@
     keys: Vec<SubmissionKey>,
     submission: JobSubmission,
     arrived_at: Moment,
-    /// Whether runs that an earlier dispatcher started may still exist.
-    resumed: bool,
+    /// When the last of the submissions arrived that an earlier dispatcher may have started; `None`
+    /// if there is none.
+    resumed_at: Option<Moment>,
 }
 
 /// Sort key of the queue, most urgent job first.
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -182,10 +182,12 @@
         self.is_available(target, now) && !self.is_evacuated(target)
     }
 
-    /// Whether a target can be given tasks, apart from an evacuation of its zone.
+    /// Whether a target can be given tasks, apart from an evacuation of its zone. A successor doesn't
+    /// know one that the list lacks.
     pub(super) fn is_available(&self, target: &Target, now: Moment) -> bool {
         let current = self.list_status.is_current || now - self.created_at > LIST_READ_TIMEOUT;
         current
+            && target.listed
             && target.taken_over
             && !target.info.draining
             && target.unresponsive_since.is_none()
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -235,10 +235,13 @@
         }
         let list = self.shard_targets();
         let since = self.dispatcher.borrow().as_ref().map(|d| d.since);
+        let timeouts = self.config().map(|c| c.queues.iter().map(|q| q.timeout).max());
+        let max_run = timeouts.flatten().unwrap_or_default() + self.timing.lease_bound;
         let known_targets = self.known_targets.borrow();
         let status = TargetListStatus {
             is_current: since.is_some_and(|since| known_targets.is_read_since(since)),
-            is_complete: since.is_some_and(|since| known_targets.is_complete(since)),
+            is_complete: since.is_some_and(|since| known_targets.is_complete(since))
+                && known_targets.knows_targets_in_use(max_run),
         };
         drop(known_targets);
         self.drive(|core, now| core.update_targets(&list, status, now));
--- a/src/state/known_targets.rs
+++ b/src/state/known_targets.rs
@@ -11,6 +11,14 @@
 /// its store is unavailable, and targets write them again within two seconds of its return.
 const MISSING_GRACE: Duration = Duration::from_millis(2_500);
 
+/// Longest time for which a dispatcher that reads the list starts tasks on a target whose entry was
+/// removed: the grace period, two intervals between its reads and the age of a list that it takes from
+/// another VM.
+const MAX_STARTS_ON_MISSING: Duration = Duration::from_millis(4_600);
+
+/// Time for which a removed entry is remembered; more than the longest use of its target.
+const MAX_DROPPED_AGE: Duration = Duration::from_secs(60);
+
 /// A known target.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -36,6 +44,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct KnownTargets {
     entries: IndexMap<TargetId, Entry>,
+    /// Targets that are no longer in `entries`, with the time of the first read in which the list lacked
+    /// them. Without those that were draining, on which tasks are no longer started.
+    dropped: IndexMap<TargetId, Moment>,
     /// Time of the first of the uninterrupted successful reads of the list; `None` after a failure.
     readable_since: Option<Moment>,
     /// Time of the last successful read of the list.
@@ -55,12 +66,17 @@
                 entry.missing_since.get_or_insert(now);
             }
             for info in list {
+                self.dropped.swap_remove(&info.id);
                 let entry = Entry { info, missing_since: None };
                 self.entries.insert(entry.info.id.clone(), entry);
             }
         }
-        let is_kept = |e: &Entry| e.missing_since.is_none_or(|since| now - since <= MISSING_GRACE);
-        self.entries.retain(|_, entry| is_kept(entry));
+        let is_dropped = |e: &Entry| e.missing_since.is_some_and(|at| now - at > MISSING_GRACE);
+        for (id, entry) in self.entries.extract_if(.., |_, entry| is_dropped(entry)) {
+            let missing_since = entry.missing_since.filter(|_| !entry.info.draining);
+            self.dropped.extend(missing_since.map(|since| (id, since)));
+        }
+        self.dropped.retain(|_, since| now - *since < MAX_DROPPED_AGE);
         changed || len_before != self.entries.len()
     }
 
@@ -107,4 +123,11 @@
         let is_long_enough = |since| self.last_read_at - since >= MISSING_GRACE;
         self.last_read_at >= moment && self.readable_since.is_some_and(is_long_enough)
     }
+
+    /// Whether every target is known here on which a dispatcher that reads the list may have runs, which
+    /// end within `max_run` after their start: no entry was removed for so long.
+    pub fn knows_targets_in_use(&self, max_run: Duration) -> bool {
+        let is_over = |at: Moment| self.last_read_at - at >= MAX_STARTS_ON_MISSING + max_run;
+        self.readable_since.is_some_and(is_over) && self.dropped.values().all(|at| is_over(*at))
+    }
 }
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -18,3 +18,4 @@
 mod runs;
 mod simulation;
 mod steps;
+mod takeover;
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -204,6 +204,12 @@
         self.publish_targets();
     }
 
+    /// Publishes a list that lacks a target.
+    pub fn remove_from_list(&mut self, n: usize) {
+        self.list.remove(n);
+        self.publish_targets();
+    }
+
     /// Replaces the set of evacuated zones.
     pub fn set_evacuated_zones(&mut self, zones: &[&str]) {
         self.evacuated_zones = zones.iter().map(|zone| zone.parse().unwrap()).collect();
--- /dev/null
+++ b/tests/dispatch/takeover.rs
@@ -0,0 +1,64 @@
+//! What a successor may start while runs of its predecessor are left, also on targets that its list
+//! lacks or that it doesn't reach.
+
+use crate::simulation::{Fault, LONG, Simulation, URGENT, ms, submission};
+use cranberrytray::state::job_submission::{CallerJobId, Outcome, TaskId};
+
+fn task(job: u64) -> TaskId {
+    TaskId { job: CallerJobId(job), step: 0, index: 0 }
+}
+
+/// Guards against runs on a target that the next dispatcher doesn't know: a busy target that is
+/// missing from the list for good was used until it had no runs, which under load never happened.
+#[test]
+fn target_missing_from_list_gets_no_start() {
+    let mut sim = Simulation::new(2).take_over();
+    let first = sim.submit(submission(1, LONG, 4, ms(400)));
+    sim.run(ms(100));
+    sim.remove_from_list(0);
+    let starts = [sim.target(0).starts.len(), sim.target(1).starts.len()];
+    for id in 2..12 {
+        sim.submit(submission(id, URGENT, 1, ms(60)));
+        sim.run(ms(80));
+    }
+    assert_eq!(sim.target(0).starts.len(), starts[0]);
+    assert!(sim.target(1).starts.len() > starts[1]);
+    assert_eq!(sim.outcome(first), Some(Outcome::Completed), "its runs there go on");
+}
+
+/// Guards against two runs of a task at once: a dispatcher regarded the leases of a rival as expired
+/// 0.96 s after its own election, though the rival had renewed them on a target that only it reached
+/// until the entry VM moved on.
+#[test]
+fn resumed_job_waits_for_leases_that_a_rival_renewed() {
+    for elected_before in [ms(0), ms(500), ms(950), ms(1_200), ms(5_000)] {
+        for is_listed in [true, false] {
+            let mut sim = Simulation::new(2);
+            sim.list_status.is_complete = is_listed;
+            sim.target(0).fault = Fault::Unreachable;
+            sim.publish_targets();
+            if !is_listed {
+                sim.remove_from_list(0);
+            }
+            sim.run(elected_before);
+            let now = sim.now;
+            sim.target(0).add_earlier_run(task(7), ms(1_400), now);
+            let key = sim.submit_with(submission(7, LONG, 1, ms(60)), false, true);
+            sim.run(ms(1_400));
+            let case = format!("elected {elected_before:?} before, listed: {is_listed}");
+            assert_eq!(sim.duplicate_runs, [], "{case}");
+            assert_eq!(sim.outcome(key), Some(Outcome::Completed), "{case}");
+        }
+    }
+}
+
+/// The successor has all targets: a resumed job needn't wait for leases.
+#[test]
+fn resumed_job_is_started_once_all_targets_are_taken_over() {
+    let mut sim = Simulation::new(2);
+    sim.publish_targets();
+    sim.run(ms(3_000));
+    let key = sim.submit_with(submission(7, URGENT, 1, ms(60)), false, true);
+    sim.run(ms(100));
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
--- a/tests/known_targets.rs
+++ b/tests/known_targets.rs
@@ -88,3 +88,54 @@
     known.on_list_read(None, at(4_000));
     assert!(!known.is_complete(at(3_900)));
 }
+
+/// Guards against a resumed job that runs twice: a target that doesn't reach the store is no longer
+/// listed, and the lost dispatcher still had runs there.
+#[test]
+fn knows_targets_in_use_not_after_an_entry_was_dropped() {
+    let max_run = Duration::from_millis(2_460);
+    let mut known = KnownTargets::default();
+    known.on_list_read(Some(vec![target(1), target(2)]), at(1_000));
+    known.on_list_read(None, at(20_000));
+    assert!(known.knows_targets_in_use(max_run));
+    known.on_list_read(Some(vec![target(1)]), at(20_100));
+    assert!(known.knows_targets_in_use(max_run), "the target is still known");
+    known.on_list_read(None, at(24_900));
+    assert_eq!(count_targets(&known), 1);
+    assert!(known.is_complete(at(24_000)) && !known.knows_targets_in_use(max_run));
+    known.on_list_read(None, at(27_100));
+    assert!(!known.knows_targets_in_use(max_run));
+    known.on_list_read(None, at(27_200));
+    assert!(known.knows_targets_in_use(max_run));
+}
+
+/// A target that is back, or that was draining when its entry was removed, holds nothing up.
+#[test]
+fn knows_targets_in_use_after_a_return_or_a_planned_shutdown() {
+    let max_run = Duration::from_millis(2_460);
+    let mut known = KnownTargets::default();
+    let draining = TargetInfo { draining: true, ..target(2) };
+    known.on_list_read(Some(vec![target(1), draining]), at(1_000));
+    known.on_list_read(Some(vec![target(1)]), at(20_000));
+    known.on_list_read(Some(vec![]), at(20_100));
+    known.on_list_read(None, at(23_000));
+    assert_eq!(count_targets(&known), 0);
+    assert!(!known.knows_targets_in_use(max_run));
+    known.on_list_read(Some(vec![target(1)]), at(23_100));
+    assert!(known.knows_targets_in_use(max_run));
+}
+
+/// Guards against the same where the entry was removed before this VM first read the list.
+#[test]
+fn knows_targets_in_use_only_after_reading_for_long_enough() {
+    let max_run = Duration::from_millis(2_460);
+    let mut known = KnownTargets::default();
+    known.on_list_read(Some(vec![target(1)]), at(1_000));
+    known.on_list_read(None, at(8_000));
+    assert!(!known.knows_targets_in_use(max_run));
+    known.on_list_read(None, at(8_100));
+    assert!(known.knows_targets_in_use(max_run));
+    known.on_list_read_failed();
+    known.on_list_read(None, at(9_000));
+    assert!(!known.knows_targets_in_use(max_run));
+}
