Test what a dispatcher that steps down answers

A dispatcher that steps down answers its open submissions and sends no stops, so that its runs live until their leases lapse. Worked out whether an answer lets a second run begin before that; none does, so that nothing but tests changes.

* NotRun is given only to jobs of which no start was sent, and the entry VM may submit those to the successor at once.
A job with an order under way counts as started.
A deferred submission, whose earlier runs are open, is answered as unknown.
* Unknown goes to the caller as it is, never to the successor, and the caller submits again after 1.3 s.
The last lease ends by 0.96 s: renewals end with the role, and an order under way carries the end of its lease.
* Failed and Completed aren't given by stepping down; answers decided before are passed on, and lead to no submission.
* A resumed submission is one whose connection was lost, not answered.

Stops would free targets earlier only where the successor doesn't stop the runs itself; weighed in docs/design/bounds-of-delayed-orders.md and left out.

--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -17,5 +17,6 @@
 mod run_log;
 mod runs;
 mod simulation;
+mod step_down;
 mod steps;
 mod takeover;
