Bound the leases for the dispatcher's own callers

What callers saw: nothing yet; an open point of the incident of tasks that ran twice, by reading.

Cause: the jobs of a dispatcher's own callers had no submitter, so that nothing bounded the leases of their runs. A busy VM that notices late that a caller has left first handles an answer that came before, and renews the lease for 0.96 s; if the stop has no answer, the run goes on. Gaps up to 0.65 s don't count as a suspension, so the sum is up to 1.61 s after the caller left, which submits again after 1.3 s.

Ruled out: an entry VM that is not the dispatcher.

Change: own callers count as known to be there up to the tick before the last. What reached the process before a timer was started is handled before the timer fires, so that lag, missing processor time and suspensions all count as their silence. Leases and starts follow from that as for other submitters.

A timely tick leaves 1.25 s, so that leases are not shorter while a VM is less than 0.29 s behind.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -55,7 +55,8 @@
 impl Dispatcher {
     /// Admits, redirects or refuses a job, or defers the decision until earlier runs of the job are
     /// closed. `may_redirect` is false if another shard redirected the job here; `resumed` is true
-    /// if it may have run under an earlier dispatcher of this shard.
+    /// if it may have run under an earlier dispatcher of this shard. A caller of this VM waits for the
+    /// outcome.
     pub fn submit(
         &mut self,
         submission: JobSubmission,
@@ -63,9 +64,26 @@
         resumed: bool,
         now: Moment,
     ) -> SubmissionKey {
-        self.check_suspension(now);
+        let key = self.next_submission_key();
+        self.submitters.add_own_caller(key);
+        self.submit_as(key, submission, may_redirect, resumed, now)
+    }
+
+    pub(super) fn next_submission_key(&mut self) -> SubmissionKey {
         self.last_submission_key += 1;
-        let key = SubmissionKey(self.last_submission_key);
+        SubmissionKey(self.last_submission_key)
+    }
+
+    /// Decides on a submission whose submitter is known.
+    pub(super) fn submit_as(
+        &mut self,
+        key: SubmissionKey,
+        submission: JobSubmission,
+        may_redirect: bool,
+        resumed: bool,
+        now: Moment,
+    ) -> SubmissionKey {
+        self.check_suspension(now);
         if self.handing_over {
             self.refuse(&[key], &submission, Refusal::Closed, MIN_RETRY_AFTER, Duration::ZERO);
         } else if let Some(&first) = self.keys_by_job_id.get(&submission.id) {
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -250,7 +250,7 @@
             orphaned_runs: IndexMap::new(),
             closed_runs: run_log::ClosedRuns::default(),
             deferred: Vec::new(),
-            submitters: Submitters::default(),
+            submitters: Submitters::new(now),
             remote_shards: IndexMap::new(),
             evacuations: Evacuations::default(),
             crash_history: CrashHistory::default(),
@@ -372,7 +372,11 @@
 
     /// Handles timeouts: deadlines, leases and unconfirmed stops. To be called every
     /// [`TICK_INTERVAL`]; later calls show that this process is behind its work.
+    ///
+    /// What callers and peers sent before a call, ends of connections included, has to be handled
+    /// before the next call.
     pub fn tick(&mut self, now: Moment) {
+        self.submitters.on_tick(now);
         self.check_suspension(now);
         self.lag_meter.on_timer(now);
         self.update_fast_limit();
--- a/src/coordination/dispatch/submitters.rs
+++ b/src/coordination/dispatch/submitters.rs
@@ -19,14 +19,36 @@
 #[derive(Clone, Copy, Debug, Display, From, PartialEq, Eq, Hash)]
 pub struct SubmitterId(pub u64);
 
-/// The submitters of open jobs. Jobs of this VM's own callers have none.
-#[derive(Clone, Debug, Default)]
+/// The submitters of open jobs.
+#[derive(Clone, Debug)]
 pub(super) struct Submitters {
-    by_submission: IndexMap<SubmissionKey, SubmitterId>,
+    /// Submitter of each submission; `None` for those of this VM's own callers.
+    by_submission: IndexMap<SubmissionKey, Option<SubmitterId>>,
     last_alive: IndexMap<SubmitterId, Moment>,
+    /// Moment up to which all ends of own callers' connections are known.
+    own_callers_alive: Moment,
+    last_tick_at: Moment,
 }
 
 impl Submitters {
+    pub fn new(now: Moment) -> Self {
+        Submitters {
+            by_submission: IndexMap::new(),
+            last_alive: IndexMap::new(),
+            own_callers_alive: now,
+            last_tick_at: now,
+        }
+    }
+
+    /// Records that the timer fired: all that reached this process before the last time was handled.
+    pub fn on_tick(&mut self, now: Moment) {
+        self.own_callers_alive = std::mem::replace(&mut self.last_tick_at, now);
+    }
+
+    pub fn add_own_caller(&mut self, key: SubmissionKey) {
+        self.by_submission.insert(key, None);
+    }
+
     /// Forgets a submission that is answered or cancelled.
     pub fn remove(&mut self, key: SubmissionKey) {
         self.by_submission.swap_remove(&key);
@@ -35,7 +57,11 @@
     /// When the submitter was last known to be alive, the earliest one if there are several.
     fn last_alive(&self, keys: &[SubmissionKey]) -> Option<Moment> {
         let submitters = keys.iter().filter_map(|key| self.by_submission.get(key));
-        submitters.filter_map(|submitter| self.last_alive.get(submitter)).min().copied()
+        let last_alive = submitters.filter_map(|submitter| match submitter {
+            Some(id) => self.last_alive.get(id),
+            None => Some(&self.own_callers_alive),
+        });
+        last_alive.min().copied()
     }
 }
 
@@ -52,9 +78,9 @@
         now: Moment,
     ) -> SubmissionKey {
         self.set_submitter_alive(submitter, last_alive);
-        let key = SubmissionKey(self.last_submission_key + 1);
-        self.submitters.by_submission.insert(key, submitter);
-        self.submit(submission, may_redirect, resumed, now)
+        let key = self.next_submission_key();
+        self.submitters.by_submission.insert(key, Some(submitter));
+        self.submit_as(key, submission, may_redirect, resumed, now)
     }
 
     /// Records that a submitter was alive at `at`, unless a later moment is known.
@@ -66,11 +92,10 @@
     /// Forgets a submitter whose connection has ended.
     pub fn remove_submitter(&mut self, submitter: SubmitterId) {
         self.submitters.last_alive.swap_remove(&submitter);
-        self.submitters.by_submission.retain(|_, other| *other != submitter);
+        self.submitters.by_submission.retain(|_, other| *other != Some(submitter));
     }
 
-    /// When the runs of a job must have ended, in case its submitter is lost; `None` if this VM's own
-    /// callers wait for it.
+    /// When the runs of a job must have ended, in case its submitter is lost.
     pub(super) fn runs_end_by(&self, key: SubmissionKey) -> Option<Moment> {
         let job = self.jobs.get(&key)?;
         let last_alive = self.submitters.last_alive(&job.submissions);
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -100,6 +100,48 @@
     assert_eq!(sim.outcome(key), Some(Outcome::Completed));
 }
 
+/// Guards against two runs of a task at once: this VM notices late that its own caller has left, and
+/// the lease of a run whose stop is not answered lasts longer than the caller waits to submit again.
+#[test]
+fn run_of_own_caller_that_left_ends_before_its_job_is_submitted_again() {
+    for phase in (0..320).step_by(10) {
+        for noticed_after in [0, 200, 300, 400, 500, 600] {
+            let mut sim = Simulation::new(1).take_over();
+            sim.run(ms(phase));
+            let key = sim.submit(submission(1, LONG, 1, ms(1_450)));
+            sim.run(ms(100));
+            let left_at = sim.now;
+            sim.target(0).fault = Fault::LosesStopRequests;
+            // Work of this VM delays its timer and the end of the connection, and not the renewals.
+            sim.manual_ticks = true;
+            sim.run(ms(noticed_after));
+            sim.tick();
+            sim.dispatcher.cancel(key, sim.now);
+            sim.process_actions();
+            sim.manual_ticks = false;
+            sim.run(left_at + ms(1_300) - sim.now);
+            assert_eq!(
+                sim.target(0).running(),
+                0,
+                "phase {phase} ms, noticed after {noticed_after} ms"
+            );
+        }
+    }
+}
+
+/// Guards against a start for a caller of this VM whose connection may have ended unnoticed.
+#[test]
+fn job_of_own_caller_waits_while_this_vm_is_behind() {
+    let mut sim = Simulation::new(1).take_over();
+    sim.manual_ticks = true;
+    sim.run(ms(500));
+    let key = sim.submit(submission(1, LONG, 1, ms(300)));
+    assert_eq!(sim.start_count(), 0);
+    sim.manual_ticks = false;
+    sim.run(ms(450));
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
+
 /// Guards against leases that are not renewed although heartbeats arrive.
 #[test]
 fn run_of_live_submitter_keeps_its_lease() {
