Ask the elected dispatchers in tests of shards

What was seen: at a load of 28 on 8 cores, fetch_targets_takes_the_list_of_the_first_shard and run_resumed_job_of_another_division_is_unknown failed in 1 of 12 runs each: the list had a target more, and a resumed job was refused as "closed".

Cause: the tests asked the first and second VM, which are the strongest candidates of the two shards. Elections are staggered by time, so that a weaker candidate is elected when the strongest gets no processor time for that long. The first VM was no dispatcher then.

Change: both ask whichever VM dispatches the shard, which is what they are about. That the strongest are elected stays the assertion of zone_with_many_targets_has_two_dispatchers and leaving_dispatcher_hands_its_shard_to_a_candidate_of_it.

--- a/tests/shards.rs
+++ b/tests/shards.rs
@@ -209,6 +209,14 @@
         shards
     }
 
+    /// The VM that dispatches a shard: the strongest of its candidates, unless that one was too busy to take
+    /// part in the election.
+    fn dispatcher_of(&self, index: u16) -> &Rc<Node<IdleTargets>> {
+        let is_of_shard =
+            |node: &&Rc<Node<IdleTargets>>| node.is_dispatcher() && node.shard_index() == index;
+        self.nodes.iter().find(is_of_shard).unwrap()
+    }
+
     /// Waits until every VM can submit jobs to each of these shards.
     async fn wait_for(&self, shards: &[u16]) {
         let begun = Instant::now();
@@ -323,7 +331,7 @@
     block_on(async {
         let zone = Zone::start(0).await;
         zone.wait_for(&[0, 1]).await;
-        let (reader, other) = (&zone.nodes[0], &zone.nodes[1]);
+        let (reader, other) = (zone.dispatcher_of(0), zone.dispatcher_of(1));
         // A new dispatcher reads the list itself: the fetched one may be older than its election.
         assert!(!other.fetch_targets().await);
         other.on_targets_read(None);
@@ -356,7 +364,7 @@
         let submitter = Submitter { id: SubmitterId(1), silent_for: Duration::ZERO };
         for (id, shard_count) in [(id, ShardCount::ONE), (elsewhere, count)] {
             let options = DispatchOptions { may_redirect: false, resumed: true, shard_count };
-            let reply = zone.nodes[0].run(job(id), options, submitter).await;
+            let reply = zone.dispatcher_of(0).run(job(id), options, submitter).await;
             assert_eq!(reply, DispatchReply::Ended(Outcome::Unknown));
         }
         assert_eq!(zone.targets.starts.get(), 0);
