Count a suspension of the machine as silence of peers

What callers saw: nothing yet; an open point of the incident of tasks that ran twice, by reading.

Cause: connections measured the silence of a peer by the clock of timers, which stands still while the machine is suspended; the decision core uses a clock that advances. After a suspension of a dispatcher's machine its entry VMs counted as alive, and their jobs, which callers may have submitted elsewhere, were accepted.

Evidence before the change: suspension_of_the_machine_counts_as_silence, with a clock that the test advances by 0.7 s: the job was answered "Ended(Completed)" in place of refused.

Change: a peer handler supplies the time, a VM from its core's clock. Ages of connections and of received jobs follow it as well.

Left: an entry VM measures the time since it received a job by the other clock.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,15 +15,12 @@
 pub mod shards;
 
 use crate::{
-    coordination::{
-        dispatch::{
-            Counts, RunRequest, SpareCpu,
-            ownership::LeaseRenewal,
-            replies::{LeaseRenewalError, StartReply, StopReply},
-            submitters::SubmitterId,
-            timing::Timing,
-        },
-        election::is_standby,
+    coordination::dispatch::{
+        Counts, RunRequest, SpareCpu,
+        ownership::LeaseRenewal,
+        replies::{LeaseRenewalError, StartReply, StopReply},
+        submitters::SubmitterId,
+        timing::Timing,
     },
     protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot, TargetList, ZoneDispatcher},
     state::{
@@ -272,17 +269,6 @@
         found
     }
 
-    /// Whether this VM keeps the list of targets up to date: it is a dispatcher, or one of the VMs
-    /// that would be elected next for its shard.
-    pub fn follows_targets(&self) -> bool {
-        if self.is_dispatcher() || !self.enables(Mechanism::Standbys) {
-            return true;
-        }
-        let others = self.shard_peers(self.shard_index());
-        let others = others.iter().map(election::rank);
-        is_standby(&election::rank(&self.me), others, self.shard_count())
-    }
-
     /// Whether new requests should be sent to this VM: it has a configuration, a shard of its zone has
     /// a dispatcher, and it is not leaving.
     pub fn is_ready(&self) -> bool {
@@ -383,6 +369,10 @@
 where
     T: TargetClient,
 {
+    fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         let now = self.clock.now();
         let dispatcher = self.dispatcher.borrow();
--- a/src/fleet/shards.rs
+++ b/src/fleet/shards.rs
@@ -3,6 +3,7 @@
 
 use super::{Node, TargetClient, election};
 use crate::{
+    coordination::election::is_standby,
     protocol::fleet::{Heartbeat, Peer, TargetList},
     state::{
         mechanism::Mechanism,
@@ -227,6 +228,17 @@
         peers.into_iter().enumerate().filter(|(n, _)| is_candidate(*n)).map(|(_, p)| p).collect()
     }
 
+    /// Whether this VM keeps the list of targets up to date: it is a dispatcher, or one of the VMs
+    /// that would be elected next for its shard.
+    pub fn follows_targets(&self) -> bool {
+        if self.is_dispatcher() || !self.enables(Mechanism::Standbys) {
+            return true;
+        }
+        let others = self.shard_peers(self.shard_index());
+        let others = others.iter().map(election::rank);
+        is_standby(&election::rank(&self.me), others, self.shard_count())
+    }
+
     /// The list of this zone's targets as this VM last read it.
     pub(super) fn read_target_list(&self) -> Option<TargetList> {
         let known_targets = self.known_targets.borrow();
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -19,9 +19,10 @@
     },
     state::{
         id::{ConfigVersion, VmName, ZoneName},
-        job_submission::{JobSubmission, Outcome, Refusal},
+        job_submission::JobSubmission,
         shard::ShardCount,
         target::TargetId,
+        time::Moment,
     },
 };
 use std::{
@@ -35,7 +36,7 @@
     net::TcpListener,
     sync::Notify,
     task::spawn_local,
-    time::{Instant, sleep, timeout},
+    time::{sleep, timeout},
 };
 
 /// Timeout for establishing a connection; round trips take a few milliseconds.
@@ -53,9 +54,6 @@
 /// second at the longest, and the sender closes the connection unless each is answered within
 /// [`HEARTBEAT_TIMEOUT`].
 const MAX_HEARTBEAT_AGE: Duration = Duration::from_millis(2_000);
-/// Retry delay of a job that is refused because its sender may have given it up: a sender that is alive
-/// has proven it by then.
-const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Timeout for the reply to a request for a [`Snapshot`].
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -81,6 +79,9 @@
 
 /// Handles the calls of peers to this VM.
 pub trait PeerHandler: 'static {
+    /// Returns the time on a clock that also advances while the machine is suspended, as peers notice
+    /// such a silence.
+    fn now(&self) -> Moment;
     /// Returns the heartbeat that reports the present state of this VM.
     fn heartbeat(&self) -> Heartbeat;
     /// Processes a heartbeat received from a peer.
@@ -113,7 +114,7 @@
 {
     pub(super) handler: Rc<H>,
     id: SubmitterId,
-    pub(super) connected_at: Instant,
+    connected_at: Moment,
     /// Time from `connected_at` to the latest moment at which the peer was provably alive.
     last_alive: Cell<Duration>,
     /// Name of the peer, as its heartbeats give it.
@@ -133,6 +134,11 @@
 where
     H: PeerHandler,
 {
+    /// Age of the connection.
+    pub(super) fn age(&self) -> Duration {
+        self.handler.now() - self.connected_at
+    }
+
     fn submitter(&self) -> Submitter {
         Submitter { id: self.id, silent_for: self.silent_for() }
     }
@@ -140,7 +146,7 @@
     /// Time for which the peer is not proven to have been alive. What it sent on this connection and
     /// is received now was delayed by no longer than that.
     pub(super) fn silent_for(&self) -> Duration {
-        self.connected_at.elapsed() - self.last_alive.get()
+        self.age().saturating_sub(self.last_alive.get())
     }
 
     async fn wait_until_unresponsive(&self) {
@@ -168,7 +174,7 @@
         // `connected_at`, in milliseconds.
         let params = params.get()?;
         let alive_at = Duration::from_millis(params.get_echo());
-        self.last_alive.set(self.last_alive.get().max(alive_at.min(self.connected_at.elapsed())));
+        self.last_alive.set(self.last_alive.get().max(alive_at.min(self.age())));
         self.handler.on_peer_alive(self.submitter());
         let heartbeat = read_heartbeat(params.get_beat()?)?;
         self.sender.borrow_mut().get_or_insert_with(|| heartbeat.from.vm.clone());
@@ -176,7 +182,7 @@
             self.handler.on_heartbeat(heartbeat);
         }
         let mut results = results.get();
-        results.set_token(self.connected_at.elapsed().as_millis() as u64);
+        results.set_token(self.age().as_millis() as u64);
         write_heartbeat(&self.handler.heartbeat(), results.init_beat());
         Ok(())
     }
@@ -196,11 +202,8 @@
         let guard = ReceivedJobGuard::new(&self, job.id, options);
         let silent_for = self.silent_for();
         if silent_for >= UNRESPONSIVE_TIMEOUT {
-            guard.end_with(ReceivedJobEvent::RefusedAsLate);
             // The sender may have given this job up, and its caller may have submitted it elsewhere.
-            let refused =
-                Outcome::NotRun { refusal: Refusal::Closed, retry_after: STALE_RETRY_AFTER };
-            write_dispatch_reply(DispatchReply::Ended(refused), results.get());
+            write_dispatch_reply(guard.refuse(), results.get());
             return Ok(());
         }
         if silent_for > HEARTBEAT_TIMEOUT {
@@ -282,11 +285,12 @@
     let connections = Cell::new(0);
     let make = || -> peer::Client {
         let handler = Rc::clone(&handler);
+        let connected_at = handler.now();
         connections.set(connections.get() + 1);
         capnp_rpc::new_client(PeerServer {
             handler,
             id: SubmitterId(connections.get()),
-            connected_at: Instant::now(),
+            connected_at,
             last_alive: Cell::default(),
             sender: RefCell::default(),
         })
--- a/src/transport/received_job.rs
+++ b/src/transport/received_job.rs
@@ -5,12 +5,16 @@
     protocol::fleet::DispatchReply,
     state::{
         id::VmName,
-        job_submission::{CallerJobId, Outcome},
+        job_submission::{CallerJobId, Outcome, Refusal},
+        time::Moment,
     },
 };
 use derive_more::Display;
 use std::{cell::Cell, rc::Rc, time::Duration};
-use tokio::time::Instant;
+
+/// Retry delay of a job that is refused because its sender may have given it up: a sender that is alive
+/// has proven it by then.
+const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A job received from a peer.
 #[derive(Clone, Debug, Display)]
@@ -61,7 +65,7 @@
     server: Rc<PeerServer<H>>,
     id: CallerJobId,
     options: DispatchOptions,
-    received_at: Instant,
+    received_at: Moment,
     has_ended: Cell<bool>,
 }
 
@@ -78,7 +82,7 @@
             server: Rc::clone(server),
             id,
             options,
-            received_at: Instant::now(),
+            received_at: server.handler.now(),
             has_ended: Cell::new(false),
         }
     }
@@ -88,8 +92,15 @@
         self.has_ended.set(true);
     }
 
+    /// Reports that the job is refused because it was read late, and returns its reply.
+    pub(super) fn refuse(&self) -> DispatchReply {
+        self.end_with(ReceivedJobEvent::RefusedAsLate);
+        let refusal = Refusal::Closed;
+        DispatchReply::Ended(Outcome::NotRun { refusal, retry_after: STALE_RETRY_AFTER })
+    }
+
     /// Records that the job is not run any further.
-    pub(super) fn end_with(&self, event: ReceivedJobEvent) {
+    fn end_with(&self, event: ReceivedJobEvent) {
         self.end();
         self.report(event);
     }
@@ -106,9 +117,9 @@
             id: self.id,
             from: self.server.sender.borrow().clone(),
             options: self.options,
-            age: self.received_at.elapsed(),
+            age: self.server.handler.now() - self.received_at,
             silence: self.server.silent_for(),
-            connected: self.server.connected_at.elapsed(),
+            connected: self.server.age(),
         };
         self.server.handler.on_received_job(&job, event);
     }
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -7,7 +7,7 @@
         replies::{LeaseRenewalError, StartReply, StopReply},
         timing::{RunBounds, Timing},
     },
-    fleet::{Node, TargetClient},
+    fleet::{Node, TargetClient, clock::Clock},
     protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot, TargetList},
     state::{
         evacuation::Evacuations,
@@ -16,6 +16,7 @@
         mechanism::MechanismSet,
         shard::ShardCount,
         target::{TargetId, TargetReport, TargetTime},
+        time::Moment,
     },
     transport::fleet::{DispatchOptions, PeerHandler, PeerLink, Submitter, serve},
 };
@@ -113,9 +114,13 @@
 }
 
 /// A VM whose heartbeats know no evacuated zone, but whose snapshots do.
-struct SnapshotSender(Peer);
+struct SnapshotSender(Peer, Clock);
 
 impl PeerHandler for SnapshotSender {
+    fn now(&self) -> Moment {
+        self.1.now()
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
             from: self.0.clone(),
@@ -169,7 +174,7 @@
     block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        spawn_local(serve(listener, Rc::new(SnapshotSender(peer("vm-1", address)))));
+        spawn_local(serve(listener, Rc::new(SnapshotSender(peer("vm-1", address), Clock::new()))));
         let (node, _) = start_vm("vm-2").await;
         node.fetch_snapshot(address).await.unwrap();
         assert_eq!(node.evacuations(), evacuations(3, &["zone-a"]));
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -2,6 +2,7 @@
 
 use cranberrytray::{
     coordination::dispatch::SpareCpu,
+    fleet::clock::Clock,
     protocol::{
         fleet::{
             DispatchReply, Heartbeat, Peer, Snapshot, TargetList, read_dispatch_reply,
@@ -16,6 +17,7 @@
         job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, TaskId},
         shard::ShardCount,
         target::{TargetId, TargetIncarnation},
+        time::Moment,
     },
     transport::{
         fleet::{DispatchOptions, PeerHandler, PeerLink, Submitter, serve},
@@ -42,6 +44,11 @@
 /// A VM that sends a fixed heartbeat and completes all jobs at once.
 struct Sender {
     heartbeat: Heartbeat,
+    clock: Clock,
+    /// Time for which the machine was suspended.
+    suspended: Cell<Duration>,
+    /// Times of silence before the heartbeats.
+    silences: RefCell<Vec<Duration>>,
     /// Times to the deadline of the jobs that were submitted.
     submitted: RefCell<Vec<Duration>>,
     /// Number of heartbeats received.
@@ -54,6 +61,9 @@
     fn new(heartbeat: Heartbeat) -> Rc<Self> {
         Rc::new(Sender {
             heartbeat,
+            clock: Clock::new(),
+            suspended: Cell::default(),
+            silences: RefCell::default(),
             submitted: RefCell::default(),
             heartbeats: Cell::new(0),
             handovers: Cell::new(0),
@@ -62,6 +72,14 @@
 }
 
 impl PeerHandler for Sender {
+    fn now(&self) -> Moment {
+        self.clock.now() + self.suspended.get()
+    }
+
+    fn on_peer_alive(self: &Rc<Self>, submitter: Submitter) {
+        self.silences.borrow_mut().push(submitter.silent_for);
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         self.heartbeat.clone()
     }
@@ -203,6 +221,31 @@
     });
 }
 
+/// Guards against runs whose submitter counts as alive: the machine was suspended, during which the clock
+/// of timers stands still, and the submitter's callers have submitted their jobs elsewhere.
+#[test]
+fn suspension_of_the_machine_counts_as_silence() {
+    serve_during(heartbeat(Vec::new()), |receiver, address| async move {
+        let client: peer::Client = connect(address).await.unwrap();
+        let token = beat(&client, 0).await;
+        assert_eq!(run(&client).await, DispatchReply::Ended(Outcome::Completed));
+        receiver.suspended.set(ms(700));
+        let refused = run(&client).await;
+        assert!(
+            matches!(
+                refused,
+                DispatchReply::Ended(Outcome::NotRun { refusal: Refusal::Closed, .. })
+            ),
+            "{refused:?}"
+        );
+        let token = beat(&client, token).await;
+        let silence = receiver.silences.borrow().last().copied();
+        assert!(silence >= Some(ms(700)), "{silence:?}");
+        beat(&client, token).await;
+        assert_eq!(run(&client).await, DispatchReply::Ended(Outcome::Completed));
+    });
+}
+
 /// Guards against two dispatchers of a zone: the network delays a handover until the leaving dispatcher
 /// has handed its targets to another VM.
 #[test]
--- a/tests/received_jobs.rs
+++ b/tests/received_jobs.rs
@@ -2,6 +2,7 @@
 
 use cranberrytray::{
     coordination::dispatch::SpareCpu,
+    fleet::clock::Clock,
     protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot, TargetList},
     state::{
         evacuation::Evacuations,
@@ -10,6 +11,7 @@
         job_submission::{CallerJobId, JobSubmission},
         shard::ShardCount,
         target::TargetId,
+        time::Moment,
     },
     transport::{
         fleet::{DispatchOptions, PeerHandler, PeerLink, Submitter, serve},
@@ -29,10 +31,15 @@
 /// A VM whose jobs never end.
 #[derive(Default)]
 struct Receiver {
+    clock: Clock,
     events: RefCell<Vec<(ReceivedJobEvent, ReceivedJob)>>,
 }
 
 impl PeerHandler for Receiver {
+    fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         let from = Peer {
             vm: "vm-1".parse().unwrap(),
