Pause VMs that replace each other as dispatcher

Cause: the two VMs reach the targets and another zone, but not each other. The one that is fenced by a target steps down, finds no dispatcher within a round of 0.12 s, is elected with a higher token and fences the other one on the same targets. Nothing that it knows outlasts the change of role.

Ruled out: Rival::yields_to and Fenced::decide; the first isn't reached without heartbeats, and the second rightly has the fenced one step down.

Change: a VM that a target has told for the second time within 10 s that it was replaced isn't elected for 1 s, then 2 s, then 4 s at most. The pause ends once it finds a dispatcher, whose loss it notices then. The first time it doesn't pause, as two VMs that are elected at once may both step down.

Bound: if the other dispatcher is lost during the pause, and no third VM may be elected, the shard is without one for up to 4 s and an election. Others are elected as before; those that reach the pausing VM and come after it by rank wait for it for up to eight rounds (by reading).

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -3,7 +3,7 @@
 //! The VMs of a zone that has no dispatcher connect to each other in rounds. At the end of a round
 //! each decides by [`Round::decide`] whether it becomes the dispatcher.
 
-use crate::state::{id::VmName, shard::ShardCount};
+use crate::state::{id::VmName, shard::ShardCount, time::Moment};
 use std::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 /// A VM does not become dispatcher for this long after its start, so that it first finds a
@@ -42,6 +42,16 @@
 /// Requests that were sent before a raise of the fencing token are answered within this time.
 const OLD_REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Pause of a VM that was replaced as dispatcher for the second time; several rounds, in which it usually
+/// finds the other one.
+const MIN_BACKOFF: Duration = Duration::from_secs(1);
+/// Longest pause of such a VM: its shard is without a dispatcher for as long if the other one is lost
+/// meanwhile and no third VM may be elected.
+const MAX_BACKOFF: Duration = Duration::from_secs(4);
+/// A replacement this long after the last pause counts as the first one again; more than the longest
+/// pause of the other VM.
+const BACKOFF_MEMORY: Duration = Duration::from_secs(10);
+
 /// A zone that has been without a dispatcher for this long has VMs that can't elect one, since they
 /// are cut off or have no configuration. An election takes a third of it.
 const MAX_ELECTION_DURATION: Duration = Duration::from_millis(900);
@@ -86,7 +96,7 @@
     pub missing_for: Duration,
     /// Time since the start of this VM's process.
     pub uptime: Duration,
-    /// Whether this VM can dispatch: it has a configuration and is not leaving.
+    /// Whether this VM can dispatch: it has a configuration, is not leaving and its [`Backoff`] is over.
     pub is_able: bool,
     /// Whether this VM knows targets of the zone.
     pub has_targets: bool,
@@ -218,6 +228,53 @@
     }
 }
 
+/// The pause of a VM that learned from targets, again and again, that another dispatcher has replaced it.
+/// While it doesn't find that one, it would become dispatcher at once, and both would replace each other
+/// all the time. The first time it needn't wait: two VMs that are elected at once may both step down.
+///
+/// ```
+/// use cranberrytray::{coordination::election::Backoff, state::time::Moment};
+/// use std::time::Duration;
+///
+/// let mut backoff = Backoff::default();
+/// let now = Moment::new(Duration::from_secs(60));
+/// assert_eq!(backoff.on_replaced(now), Duration::ZERO);
+/// assert_eq!(backoff.on_replaced(now), Duration::from_secs(1));
+/// assert!(!backoff.is_over(now));
+/// backoff.on_dispatcher_found(now);
+/// assert!(backoff.is_over(now));
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Backoff {
+    pause: Duration,
+    /// End of the last pause; `None` before the first one.
+    until: Option<Moment>,
+}
+
+impl Backoff {
+    /// Begins a pause, twice as long as the last one unless that is long ago, and returns its length.
+    pub fn on_replaced(&mut self, now: Moment) -> Duration {
+        let is_repeated = self.until.is_some_and(|until| now - until < BACKOFF_MEMORY);
+        self.pause = if is_repeated {
+            (self.pause * 2).clamp(MIN_BACKOFF, MAX_BACKOFF)
+        } else {
+            Duration::ZERO
+        };
+        self.until = Some(now + self.pause);
+        self.pause
+    }
+
+    /// Ends the pause, since this VM follows a dispatcher and notices its loss.
+    pub fn on_dispatcher_found(&mut self, now: Moment) {
+        self.until = self.until.map(|until| until.min(now));
+    }
+
+    /// Whether the VM may be elected.
+    pub fn is_over(&self, now: Moment) -> bool {
+        self.until.is_none_or(|until| until <= now)
+    }
+}
+
 /// Whether a job should wait for the election of its zone's dispatcher: the election is probably in
 /// progress, and the job can still be run after it. `missing_for` is the time for which the zone
 /// has been without a dispatcher, `waited` the time since the job was submitted.
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -385,7 +385,13 @@
         match fenced.decide() {
             FencedDecision::Ignore => return,
             FencedDecision::StepDown => {
-                return self.step_down(&format!("{id} has seen a higher fencing token"));
+                let shard = self.shard_link(self.shard_index());
+                let mut backoff = shard.backoff.get();
+                let pause = backoff.on_replaced(now);
+                shard.backoff.set(backoff);
+                return self.step_down(&format!(
+                    "{id} has seen a higher fencing token, no election for {pause:?}"
+                ));
             }
             FencedDecision::Raise => {}
         }
--- a/src/fleet/election.rs
+++ b/src/fleet/election.rs
@@ -192,7 +192,11 @@
     fn follow(&self, index: u16, link: Rc<PeerLink>) {
         let zone = &self.me.zone;
         log::info!("peers: following the dispatcher of {zone}/{index} at {}", link.address);
-        self.shard_link(index).set(Some(link));
+        let shard = self.shard_link(index);
+        let mut backoff = shard.backoff.get();
+        backoff.on_dispatcher_found(self.clock.now());
+        shard.backoff.set(backoff);
+        shard.set(Some(link));
     }
 
     /// Returns the connection to the dispatcher of a shard with the highest epoch, if any peer is
@@ -292,7 +296,9 @@
             number,
             missing_for: shard.missing_for(),
             uptime: self.started.elapsed(),
-            is_able: self.config().is_some() && !self.is_leaving(),
+            is_able: self.config().is_some()
+                && !self.is_leaving()
+                && shard.backoff.get().is_over(self.clock.now()),
             has_targets: !self.shard_targets().is_empty(),
             knows_peers: self.knows_peers.get(),
             answers: heartbeats.map(answer).collect(),
--- a/src/fleet/shards.rs
+++ b/src/fleet/shards.rs
@@ -3,6 +3,7 @@
 
 use super::{Node, TargetClient, election};
 use crate::{
+    coordination::election::Backoff,
     protocol::fleet::{Heartbeat, Peer, TargetList},
     state::{
         mechanism::Mechanism,
@@ -33,6 +34,8 @@
     link: RefCell<Option<Rc<PeerLink>>>,
     /// When this VM last began to search for the dispatcher.
     pub missing_since: Cell<Instant>,
+    /// Pause before this VM may be elected, after another dispatcher has replaced it.
+    pub backoff: Cell<Backoff>,
     /// Address of the dispatcher that this VM followed last.
     pub last_dispatcher: Cell<Option<SocketAddr>>,
     /// Address of a dispatcher that has announced itself during the search.
@@ -46,6 +49,7 @@
         ShardLink {
             link: RefCell::default(),
             missing_since: Cell::new(Instant::now()),
+            backoff: Cell::default(),
             last_dispatcher: Cell::default(),
             announced: Cell::default(),
             announced_notify: Notify::new(),
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -2,10 +2,10 @@
 
 use cranberrytray::{
     coordination::election::{
-        Answer, Decision, Fenced, FencedDecision, Rank, Rival, Round, is_standby, peers_of_round,
-        should_await_dispatcher,
+        Answer, Backoff, Decision, Fenced, FencedDecision, Rank, Rival, Round, is_standby,
+        peers_of_round, should_await_dispatcher,
     },
-    state::shard::ShardCount,
+    state::{shard::ShardCount, time::Moment},
 };
 use std::time::Duration;
 
@@ -243,3 +243,55 @@
     assert_eq!(raised(ms(100)), FencedDecision::Ignore, "the request may be older than the raise");
     assert_eq!(raised(ms(200)), FencedDecision::StepDown);
 }
+
+/// Two VMs that don't find each other, but the targets: each change of dispatcher stops all runs, so the
+/// changes become rare.
+#[test]
+fn backoff_grows_while_two_vms_replace_each_other() {
+    let end = Moment::new(ms(160_000));
+    let mut now = Moment::new(ms(100_000));
+    let mut backoffs = [Backoff::default(); 2];
+    let mut changes = 0;
+    while now < end {
+        let replaced = changes % 2;
+        backoffs[replaced].on_replaced(now);
+        while !backoffs[replaced].is_over(now) {
+            now = now + ms(1);
+        }
+        // A round of the election, until the other one learns of it.
+        now = now + ms(200);
+        changes += 1;
+    }
+    assert!(changes <= 20, "{changes} in a minute");
+}
+
+/// Guards against a shard that stays without a dispatcher since the only VM left was replaced before.
+#[test]
+fn backoff_ends_within_four_seconds() {
+    let mut backoff = Backoff::default();
+    let mut now = Moment::new(ms(100_000));
+    assert_eq!(backoff.on_replaced(now), ms(0), "both of two new dispatchers may step down");
+    let pauses: Vec<Duration> = (0..5)
+        .map(|_| {
+            let pause = backoff.on_replaced(now);
+            let almost = now + (pause - ms(1));
+            assert!(!backoff.is_over(almost) && backoff.is_over(now + pause));
+            now = now + pause + ms(4_000);
+            pause
+        })
+        .collect();
+    assert_eq!(pauses, [1, 2, 4, 4, 4].map(Duration::from_secs));
+    assert_eq!(backoff.on_replaced(now + ms(10_000)), ms(0), "it was dispatcher for long");
+}
+
+/// Guards against a VM that doesn't follow up on the loss of a dispatcher that it has found.
+#[test]
+fn backoff_is_over_once_a_dispatcher_is_found() {
+    let mut backoff = Backoff::default();
+    let now = Moment::new(ms(100_000));
+    backoff.on_replaced(now);
+    backoff.on_replaced(now);
+    backoff.on_dispatcher_found(now + ms(300));
+    assert!(backoff.is_over(now + ms(300)));
+    assert_eq!(backoff.on_replaced(now + ms(900)), ms(2_000));
+}
