Leave time for a usual silence where callers submit again soon

With a resubmission delay below 1.2 s jobs of other entry VMs could have waited for a heartbeat, and with 0.4 s mostly in vain (by arithmetic: 0.10 to 0.13 s of silence were allowed, and proofs are 0.12 to 0.24 s old).

Cause: leases took three quarters of the delay. A submitter on a sound connection is not proven alive for up to 0.3 s (two heartbeat intervals, a round trip, a slow VM), and no run is started unless a full lease ends before the delay is over. Below 0.84 s a submitter counted as lost, after 0.65 s, only when its leases could not be renewed any more, so that runs were lost in place of stopped.

No two runs at once: leases always ended in time.

Change: leases end within the delay less 0.3 s, and a submitter is lost after the delay less the bound of the shortest lease, 0.65 s at most. From 1.2 s on nothing changes. Delays below 0.493 s leave no lease of 0.15 s and are refused with TimingError::LeaseTooShort, which names the silence.

With a delay of 0.5 s and stops of 0.2 s or more, the lease and not the stop ends the run of a lost submitter.

--- a/src/coordination/dispatch/timing.rs
+++ b/src/coordination/dispatch/timing.rs
@@ -19,6 +19,14 @@
 /// Time from the end of a stopped run to the start of the next run of its task.
 const RESTART_MARGIN: Duration = Duration::from_millis(10);
 
+/// Longest time for which a submitter on a sound connection that carries jobs is not proven alive: two
+/// heartbeat intervals, a round trip and the delay of a VM that has used up its processor share.
+pub const USUAL_SILENCE: Duration = Duration::from_millis(300);
+/// Time since a submitter was last proven alive after which its jobs are cancelled where leases can be
+/// renewed for so long. It is longer than the timeout of a heartbeat plus the interval on connections
+/// that carry jobs, so that the submitter closes the connection first.
+pub const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(650);
+
 /// Bounds that the platform declares for leases and runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RunBounds {
@@ -50,7 +58,8 @@
     /// Leases would expire between two renewals.
     #[display(
         "leases of {lease:?} are too short, {MIN_LEASE:?} are needed: they may last at most \
-         {max_lease:?}, and must end before jobs are submitted again after {resubmit_delay:?}"
+         {max_lease:?}, and must end before jobs are submitted again after {resubmit_delay:?}, of \
+         which a live submitter may be silent for {USUAL_SILENCE:?}"
     )]
     LeaseTooShort {
         /// Longest lease that keeps both bounds.
@@ -68,6 +77,16 @@
     },
 }
 
+/// Longest time that a lease of this length on a target's clock takes on this VM's clock.
+fn bound_of(lease: Duration) -> Duration {
+    lease + lease * MAX_CLOCK_SLOWNESS_PERCENT / 100 + LEASE_MARGIN
+}
+
+/// Length of the lease on a target's clock that has ended after `bound` on this VM's clock.
+fn lease_within(bound: Duration) -> Duration {
+    bound.saturating_sub(LEASE_MARGIN) * 100 / (100 + MAX_CLOCK_SLOWNESS_PERCENT)
+}
+
 /// A lease that a request grants to the runs of a target.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Lease {
@@ -106,6 +125,8 @@
     /// Longest gap between two calls before the process counts as suspended; after a longer one,
     /// leases may have expired.
     pub suspension_threshold: Duration,
+    /// Time since a submitter was last proven alive after which its jobs are cancelled.
+    pub unresponsive_timeout: Duration,
     /// As [`RunBounds::off_rack_factor`].
     pub off_rack_factor: f64,
 }
@@ -118,20 +139,23 @@
 
 impl Timing {
     fn derive(bounds: RunBounds) -> Self {
-        // A run must have ended before its job may be submitted again, with a quarter to spare.
-        let before_resubmission = (bounds.resubmit_delay * 3 / 4).saturating_sub(LEASE_MARGIN)
-            * 100
-            / (100 + MAX_CLOCK_SLOWNESS_PERCENT);
-        let lease = (bounds.max_lease * 9 / 10).min(before_resubmission).min(MAX_LEASE);
-        let lease = Duration::from_millis(lease.as_millis() as u64);
+        // A run must have ended before its job may be submitted again, with a quarter to spare, and
+        // although its submitter was last proven alive a usual silence before the lease is granted.
+        let delay = bounds.resubmit_delay;
+        let before_resubmission = (delay * 3 / 4).min(delay.saturating_sub(USUAL_SILENCE));
+        let lease = (bounds.max_lease * 9 / 10).min(lease_within(before_resubmission));
+        let lease = Duration::from_millis(lease.min(MAX_LEASE).as_millis() as u64);
         Timing {
             lease,
-            lease_bound: lease + lease * MAX_CLOCK_SLOWNESS_PERCENT / 100 + LEASE_MARGIN,
+            lease_bound: bound_of(lease),
             renewal_wait: lease / 3,
             stop: bounds.max_stop + STOP_MARGIN,
             restart_delay: bounds.max_stop + RESTART_MARGIN,
-            resubmit_delay: bounds.resubmit_delay,
+            resubmit_delay: delay,
             suspension_threshold: lease * 13 / 18,
+            unresponsive_timeout: delay
+                .saturating_sub(bound_of(MIN_LEASE))
+                .min(UNRESPONSIVE_TIMEOUT),
             off_rack_factor: bounds.off_rack_factor,
         }
     }
@@ -150,7 +174,7 @@
             return None;
         }
         let left = end_by.map_or(self.lease_bound, |end_by| end_by - now).min(self.lease_bound);
-        let lease = left.saturating_sub(LEASE_MARGIN) * 100 / (100 + MAX_CLOCK_SLOWNESS_PERCENT);
+        let lease = lease_within(left);
         if lease < MIN_LEASE {
             return None;
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -373,6 +373,10 @@
         self.clock.now()
     }
 
+    fn unresponsive_timeout(&self) -> Duration {
+        self.timing.unresponsive_timeout
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         let now = self.clock.now();
         let dispatcher = self.dispatcher.borrow();
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -10,7 +10,10 @@
     rpc::{RpcError, connect_with_timeouts, serve_with},
 };
 use crate::{
-    coordination::dispatch::submitters::SubmitterId,
+    coordination::dispatch::{
+        submitters::SubmitterId,
+        timing::{UNRESPONSIVE_TIMEOUT, USUAL_SILENCE},
+    },
     fleet_capnp::peer,
     protocol::fleet::{
         DispatchReply, Heartbeat, Snapshot, TargetList, read_dispatch_reply, read_evacuations,
@@ -43,13 +46,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout for the reply to a heartbeat, and for the reply to a handover.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time since the peer was last proven alive after which the serving side stops the jobs received
-/// over a connection. It is longer than [`HEARTBEAT_TIMEOUT`] plus the heartbeat interval of
-/// connections that carry jobs, so that the connecting side closes the connection first.
-const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(650);
-/// Longest time for which a peer on a sound connection that carries jobs is not proven alive: two
-/// heartbeat intervals, a round trip and the delay of a VM that has used up its processor share.
-const USUAL_SILENCE: Duration = Duration::from_millis(300);
 /// A heartbeat that proves its sender alive longer ago than this is ignored. Heartbeats are sent every
 /// second at the longest, and the sender closes the connection unless each is answered within
 /// [`HEARTBEAT_TIMEOUT`].
@@ -82,6 +78,10 @@
     /// Returns the time on a clock that also advances while the machine is suspended, as peers notice
     /// such a silence.
     fn now(&self) -> Moment;
+    /// Time since a peer was last proven alive after which the jobs received from it are stopped.
+    fn unresponsive_timeout(&self) -> Duration {
+        UNRESPONSIVE_TIMEOUT
+    }
     /// Returns the heartbeat that reports the present state of this VM.
     fn heartbeat(&self) -> Heartbeat;
     /// Processes a heartbeat received from a peer.
@@ -152,10 +152,11 @@
     async fn wait_until_unresponsive(&self) {
         loop {
             let silent_for = self.silent_for();
-            if silent_for >= UNRESPONSIVE_TIMEOUT {
+            let left = self.handler.unresponsive_timeout().saturating_sub(silent_for);
+            if left.is_zero() {
                 return;
             }
-            sleep(UNRESPONSIVE_TIMEOUT - silent_for).await;
+            sleep(left).await;
         }
     }
 }
@@ -201,7 +202,7 @@
         let mut job = read_job_submission(params.get_work()?)?;
         let guard = ReceivedJobGuard::new(&self, job.id, options);
         let silent_for = self.silent_for();
-        if silent_for >= UNRESPONSIVE_TIMEOUT {
+        if silent_for >= self.handler.unresponsive_timeout() {
             // The sender may have given this job up, and its caller may have submitted it elsewhere.
             write_dispatch_reply(guard.refuse(), results.get());
             return Ok(());
