--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -374,3 +374,34 @@
     assert!(sim.duplicate_runs.is_empty());
     assert_eq!(sim.target(0).starts, []);
 }
+
+/// Guards against two runs of a task at once: the VM of the dispatcher stood still for less time than counts
+/// as a suspension, renewed leases, and only then read that a caller of its own had left.
+#[test]
+fn run_for_caller_that_left_during_a_stall_ends_before_the_job_is_submitted_again() {
+    for stall in (400..=640).step_by(40) {
+        let mut sim = Simulation::new(1).take_over();
+        let key = sim.submit(submission(1, LONG, 1, ms(1_400)));
+        sim.run(ms(20));
+        let left_at = sim.now;
+        sim.now = sim.now + ms(stall);
+        sim.target(0).fault = Fault::LosesStopRequests;
+        sim.run(ms(5));
+        sim.dispatcher.cancel(key, sim.now);
+        sim.process_actions();
+        sim.run(left_at + ms(1_300) - sim.now);
+        assert_eq!(sim.target(0).running(), 0, "stall of {stall} ms");
+    }
+}
+
+/// Guards against runs of the VM's own callers that lose their leases after a stall.
+#[test]
+fn run_for_caller_that_waits_outlasts_a_stall() {
+    let mut sim = Simulation::new(1).take_over();
+    let key = sim.submit(submission(1, LONG, 1, ms(1_200)));
+    sim.run(ms(100));
+    sim.now = sim.now + ms(500);
+    sim.run(ms(800));
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+    assert_eq!(sim.dispatcher.counts().lost_runs, 0);
+}
