Log the pause of a replaced dispatcher on a line of its own

The line on stepping down ended with "no election for 0ns" where the VM doesn't pause. No decision changes.

--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -389,9 +389,10 @@
                 let mut backoff = shard.backoff.get();
                 let pause = backoff.on_replaced(now);
                 shard.backoff.set(backoff);
-                return self.step_down(&format!(
-                    "{id} has seen a higher fencing token, no election for {pause:?}"
-                ));
+                if !pause.is_zero() {
+                    log::info!("dispatch: this VM takes no part in elections for {pause:?}");
+                }
+                return self.step_down(&format!("{id} has seen a higher fencing token"));
             }
             FencedDecision::Raise => {}
         }
