--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -269,7 +269,7 @@
         self.until = self.until.map(|until| until.min(now));
     }
 
-    /// Whether the VM may be elected.
+    /// Returns true once the VM may be elected again.
     pub fn is_over(&self, now: Moment) -> bool {
         self.until.is_none_or(|until| until <= now)
     }
--- a/src/state/known_targets.rs
+++ b/src/state/known_targets.rs
@@ -45,7 +45,7 @@
 pub struct KnownTargets {
     entries: IndexMap<TargetId, Entry>,
     /// Targets that are no longer in `entries`, with the time of the first read in which the list lacked
-    /// them. Without those that were draining, on which tasks are no longer started.
+    /// them. Targets that were draining are left out, as no task is started on them.
     dropped: IndexMap<TargetId, Moment>,
     /// Time of the first of the uninterrupted successful reads of the list; `None` after a failure.
     readable_since: Option<Moment>,
@@ -124,8 +124,9 @@
         self.last_read_at >= moment && self.readable_since.is_some_and(is_long_enough)
     }
 
-    /// Whether every target is known here on which a dispatcher that reads the list may have runs, which
-    /// end within `max_run` after their start: no entry was removed for so long.
+    /// Whether every target is known here on which a dispatcher that reads the list may have runs. This
+    /// is so if the list was readable, and no entry was removed from it, for as long as such a dispatcher
+    /// starts tasks on a removed target and its last run, of `max_run` at most, lasts.
     pub fn knows_targets_in_use(&self, max_run: Duration) -> bool {
         let is_over = |at: Moment| self.last_read_at - at >= MAX_STARTS_ON_MISSING + max_run;
         self.readable_since.is_some_and(is_over) && self.dropped.values().all(|at| is_over(*at))
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -75,8 +75,8 @@
 
 /// Handles the calls of peers to this VM.
 pub trait PeerHandler: 'static {
-    /// Returns the time on a clock that also advances while the machine is suspended, as peers notice
-    /// such a silence.
+    /// Returns the time on a clock that also advances while the machine is suspended, since the
+    /// suspension delays what peers have sent.
     fn now(&self) -> Moment;
     /// Time since a peer was last proven alive after which the jobs received from it are stopped.
     fn unresponsive_timeout(&self) -> Duration {
