--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -472,8 +472,8 @@
     }
 
     /// Closes all runs of a target whose address belongs to another target now; the list will have
-    /// that one. `incarnation` is the one whose run the answered request was for, `None` if it was for
-    /// no run: if the list has a later one since, at an address of its own, only earlier runs are over.
+    /// that one. `incarnation` is that of the run which the answered request was for, `None` if it was for
+    /// no run. If a later incarnation is known by now, at another address, only earlier runs are closed.
     fn on_other_target(
         &mut self,
         id: &TargetId,
--- a/src/coordination/dispatch/timing.rs
+++ b/src/coordination/dispatch/timing.rs
@@ -139,8 +139,8 @@
 
 impl Timing {
     fn derive(bounds: RunBounds) -> Self {
-        // A run must have ended before its job may be submitted again, with a quarter to spare, and
-        // although its submitter was last proven alive a usual silence before the lease is granted.
+        // A run must have ended before its job may be submitted again, with a quarter to spare, and also
+        // if its submitter was last proven alive `USUAL_SILENCE` before the lease is granted.
         let delay = bounds.resubmit_delay;
         let before_resubmission = (delay * 3 / 4).min(delay.saturating_sub(USUAL_SILENCE));
         let lease = (bounds.max_lease * 9 / 10).min(lease_within(before_resubmission));
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -42,8 +42,8 @@
 /// Requests that were sent before a raise of the fencing token are answered within this time.
 const OLD_REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Pause of a VM that was replaced as dispatcher for the second time; several rounds, in which it usually
-/// finds the other one.
+/// Pause of a VM that was replaced as dispatcher for the second time. It lasts several rounds of the
+/// election, in which the VM usually finds the other dispatcher.
 const MIN_BACKOFF: Duration = Duration::from_secs(1);
 /// Longest pause of such a VM: its shard is without a dispatcher for as long if the other one is lost
 /// meanwhile and no third VM may be elected.
@@ -228,9 +228,9 @@
     }
 }
 
-/// The pause of a VM that learned from targets, again and again, that another dispatcher has replaced it.
-/// While it doesn't find that one, it would become dispatcher at once, and both would replace each other
-/// all the time. The first time it needn't wait: two VMs that are elected at once may both step down.
+/// Exponential backoff of a VM that targets have told repeatedly that another dispatcher has replaced it.
+/// Without it, two VMs that reach the targets but not each other would replace each other all the time.
+/// The first replacement begins no pause, since two VMs that are elected at once may both step down.
 ///
 /// ```
 /// use cranberrytray::{coordination::election::Backoff, state::time::Moment};
