Log how long the caller of an abandoned job waits on

Nothing told a job that could not be served from one that was ended too soon: the lines on abandoned jobs had the dispatcher's deadline only. They have caller_left now, and the line on a new configuration has the range of timeouts. No change of logic.

--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -290,7 +290,17 @@
         let waiting = job.waiting_tasks.len();
         let running = job.tasks.values().filter(|t| t.target.is_some()).count();
         let scale = job.run_time_ratio();
-        self.log(LogEvent::Abandoned { job: label, reason, age, waiting, running, scale, outlook });
+        let caller_left = job.submission.time_to_deadline.saturating_sub(age);
+        self.log(LogEvent::Abandoned {
+            job: label,
+            reason,
+            age,
+            waiting,
+            running,
+            scale,
+            caller_left,
+            outlook,
+        });
         self.finish_job(key, outcome);
     }
 
--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -222,6 +222,8 @@
         running: usize,
         /// Run time of its tasks relative to what was expected.
         scale: f64,
+        /// Time for which its caller would have waited further.
+        caller_left: Duration,
         /// Its chance to end in time, if it was abandoned for that.
         outlook: Option<Outlook>,
     },
--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -189,11 +189,11 @@
         LogEvent::GivenUp { job, task, age } => {
             log::warn!("dispatch: job {job} failed: its task {task} crashes targets, age={age:?}");
         }
-        LogEvent::Abandoned { job, reason, age, waiting, running, scale, outlook } => {
+        LogEvent::Abandoned { job, reason, age, waiting, running, scale, caller_left, outlook } => {
             let outlook = outlook.map_or_else(String::new, |outlook| format!(" {outlook}"));
             log::info!(
                 "dispatch: job {job} abandoned: {reason}, age={age:?} waiting={waiting} \
-                 running={running} scale={scale:.2}{outlook}"
+                 running={running} scale={scale:.2} caller_left={caller_left:?}{outlook}"
             );
         }
         LogEvent::Completed { job, age, scale } => {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -180,7 +180,15 @@
         if config.version <= old {
             return;
         }
-        log::info!("config: version {} in force, from {source}, was {}", config.version.0, old.0);
+        let timeouts = config.queues.iter().map(|queue| queue.timeout);
+        log::info!(
+            "config: version {} in force, from {source}, was {}, queues={} timeouts={:?}..{:?}",
+            config.version.0,
+            old.0,
+            config.queues.len(),
+            timeouts.clone().min().unwrap_or_default(),
+            timeouts.max().unwrap_or_default()
+        );
         let config = Arc::new(config);
         *self.config.borrow_mut() = Some(Arc::clone(&config));
         if let Some(dispatcher) = &mut *self.dispatcher.borrow_mut() {
