--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod bounds;
 mod capacity;
 mod crashing_tasks;
+mod deadlines;
 mod evacuation;
 mod fake_target;
 mod faulty_targets;
