Run jobs until their callers' deadlines

Cause: the dispatcher took the timeout of a queue for a limit on each job's deadline, and ended or refused what ran longer, while callers said that they wait (X-Deadline-Ms) for another 6 to 9 s. Class: a default that replaces what the caller has said.

The timeout now stands for a deadline that is missing or no number, as at the entry VM before.

Deadlines are limited to 60 s. Without the timeout as a bound, a deadline of any length would keep a job open, and a successor must know how long ago a run may have been started on a target that left the list: max_run follows the limit, so that resumed jobs wait for leases for a minute after such a loss, not for 7 s.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -282,7 +282,7 @@
         let mut job = Job {
             submissions: Vec::new(),
             arrived_at,
-            deadline: arrived_at + submission.time_to_deadline.min(queue.timeout),
+            deadline: submission.deadline(arrived_at),
             objective: arrived_at + queue.objective(longest),
             priority: queue.priority,
             max_attempts: queue.max_attempts.max(1),
@@ -436,10 +436,7 @@
             self.abandon_job(key, "its deadline has passed");
         }
         for deferred in std::mem::take(&mut self.deferred) {
-            let queue = self.config.queue(&deferred.submission.queue);
-            let timeout = queue.map_or(Duration::MAX, |queue| queue.timeout);
-            let span = deferred.submission.time_to_deadline.min(timeout);
-            if deferred.arrived_at + span <= now {
+            if deferred.submission.deadline(deferred.arrived_at) <= now {
                 self.answer(&deferred.keys, deferred.submission.id, Outcome::Unknown);
             } else {
                 self.deferred.push(deferred);
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -54,7 +54,7 @@
     pub submissions: Vec<SubmissionKey>,
     /// When it was first submitted to this dispatcher.
     pub arrived_at: Moment,
-    /// When its caller stops waiting or its queue's timeout ends, whichever is earlier.
+    /// When its caller stops waiting; see [`JobSubmission::deadline`].
     pub deadline: Moment,
     /// When it should end by the latency objective of its queue.
     pub objective: Moment,
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -13,7 +13,7 @@
     protocol::fleet::{DispatchReply, Heartbeat},
     state::{
         crash_history::TaskLosses,
-        job_submission::{JobSubmission, Outcome, Refusal},
+        job_submission::{JobSubmission, MAX_TIME_TO_DEADLINE, Outcome, Refusal},
         shard::{Shard, ShardCount},
         target::{FencingToken, TargetId, TargetTime},
         time::Moment,
@@ -235,8 +235,7 @@
         }
         let list = self.shard_targets();
         let since = self.dispatcher.borrow().as_ref().map(|d| d.since);
-        let timeouts = self.config().map(|c| c.queues.iter().map(|q| q.timeout).max());
-        let max_run = timeouts.flatten().unwrap_or_default() + self.timing.lease_bound;
+        let max_run = MAX_TIME_TO_DEADLINE + self.timing.lease_bound;
         let known_targets = self.known_targets.borrow();
         let status = TargetListStatus {
             is_current: since.is_some_and(|since| known_targets.is_read_since(since)),
--- a/src/state/fleet_config.rs
+++ b/src/state/fleet_config.rs
@@ -78,8 +78,8 @@
     /// Fixed part of the latency objective.
     #[serde(rename = "allowance")]
     pub objective_base: Duration,
-    /// Longest time from the arrival of a request to its answer, also if the caller's deadline is
-    /// later.
+    /// Time for which a caller waits whose request names no deadline. A change concerns the requests
+    /// that arrive after it.
     pub timeout: Duration,
     /// Whether an outside policy decides which targets may run the tasks; such queues are not
     /// served.
--- a/src/state/job_submission.rs
+++ b/src/state/job_submission.rs
@@ -3,6 +3,7 @@
 use super::{
     fleet_config::{Label, QueueName},
     resources::Resources,
+    time::Moment,
 };
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
@@ -130,6 +131,10 @@
     chains
 }
 
+/// Longest time to the deadline of a job; callers that wait longer get an answer after it. Tasks are
+/// short, and a successor has to reckon with runs that its predecessor started so long ago.
+pub const MAX_TIME_TO_DEADLINE: Duration = Duration::from_secs(60);
+
 /// A job as submitted by its caller.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSubmission {
@@ -146,6 +151,12 @@
 }
 
 impl JobSubmission {
+    /// When the caller of a submission that arrived at `arrived_at` stops waiting, or
+    /// [`MAX_TIME_TO_DEADLINE`] after its arrival if that is earlier.
+    pub fn deadline(&self, arrived_at: Moment) -> Moment {
+        arrived_at + self.time_to_deadline.min(MAX_TIME_TO_DEADLINE)
+    }
+
     /// CPU that all tasks take together, in thousandths of a core; [`u64::MAX`] if it is more.
     pub fn total_millicores(&self) -> u64 {
         let cpu = |step: &Step| step.needs.cpu.0.saturating_mul(step.count.into());
