Search a successor from the loss of a job's dispatcher on

Callers of long jobs got an unknown outcome as soon as their dispatcher was lost or had left: the search for its successor ended 1.2 s after the job was submitted, which had been most of the time that any caller waited. A job that is older now waits as long for the election as a young one, within its deadline.

--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -58,8 +58,8 @@
 /// A job is submitted to a dispatcher only if more than this is left until its deadline; the
 /// shortest jobs take about as long.
 pub const MIN_TIME_TO_RESUBMIT: Duration = Duration::from_millis(100);
-/// Time after submission during which a job may still be submitted to the next dispatcher of its
-/// zone.
+/// Time after the submission of a job, or the loss of its dispatcher, during which it may still be
+/// submitted to the next dispatcher of its zone.
 pub const MAX_DISPATCHER_SEARCH: Duration = Duration::from_millis(1_200);
 
 /// Order in which VMs become dispatcher: the one with the largest weight comes first.
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -7,7 +7,7 @@
     },
     protocol::fleet::DispatchReply,
     state::{
-        job_submission::{CallerJobId, JobSubmission, Outcome, Refusal},
+        job_submission::{CallerJobId, JobSubmission, MAX_TIME_TO_DEADLINE, Outcome, Refusal},
         mechanism::Mechanism,
         shard::ShardCount,
     },
@@ -45,6 +45,25 @@
 /// take a few milliseconds.
 const OTHER_ZONE_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// A job's search for the dispatcher of its shard.
+#[derive(Clone, Copy, Debug)]
+struct DispatcherSearch {
+    /// When the job was submitted or its dispatcher was lost, whichever is later.
+    begun: Instant,
+    /// Deadline of the job.
+    deadline: Instant,
+}
+
+impl DispatcherSearch {
+    fn elapsed(self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    fn time_to_deadline(self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
 /// A connection for redirected jobs is closed after this time without such a job.
 const REDIRECT_LINK_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -190,21 +209,21 @@
         submission: JobSubmission,
         begun: Instant,
     ) -> Result<Outcome, UnknownCause> {
-        let time_to_deadline = submission.time_to_deadline.min(self.time_to_exit());
-        let submission = JobSubmission { time_to_deadline, ..submission };
+        let time_to_deadline =
+            submission.time_to_deadline.min(MAX_TIME_TO_DEADLINE).min(self.time_to_exit());
         let shard_count = self.shard_count();
         let mut options = DispatchOptions { may_redirect: true, resumed: false, shard_count };
+        let mut search = DispatcherSearch { begun, deadline: begun + time_to_deadline };
         loop {
-            let time_to_deadline = submission.time_to_deadline.saturating_sub(begun.elapsed());
+            let time_to_deadline = search.time_to_deadline();
             let remaining = JobSubmission { time_to_deadline, ..submission.clone() };
             let can_resubmit =
-                time_to_deadline > MIN_TIME_TO_RESUBMIT && begun.elapsed() < MAX_DISPATCHER_SEARCH;
+                time_to_deadline > MIN_TIME_TO_RESUBMIT && search.elapsed() < MAX_DISPATCHER_SEARCH;
             match self.submit_once(&remaining, options).await {
                 Ok(DispatchReply::Redirected(to)) => {
                     self.metrics.redirected();
                     // A job that waited in a zone which was then evacuated has less time left.
-                    let time_to_deadline =
-                        submission.time_to_deadline.saturating_sub(begun.elapsed());
+                    let time_to_deadline = search.time_to_deadline();
                     let remaining = JobSubmission { time_to_deadline, ..remaining };
                     match self.submit_to(to, &remaining).await? {
                         // Nothing of the job ran in the other zone, so this zone may still run it.
@@ -223,7 +242,7 @@
                 Ok(DispatchReply::Ended(Outcome::NotRun {
                     refusal: Refusal::NoDispatcher,
                     ..
-                })) if !options.resumed && self.awaits_dispatcher(&submission, begun) => {}
+                })) if !options.resumed && self.awaits_dispatcher(submission.id, search) => {}
                 Ok(DispatchReply::Ended(Outcome::NotRun { .. } | Outcome::Unknown))
                     if options.resumed =>
                 {
@@ -238,9 +257,10 @@
                         "entry: job {} lost its dispatcher: {e}, age={:?} time_left={:?}",
                         submission.id,
                         begun.elapsed(),
-                        submission.time_to_deadline.saturating_sub(begun.elapsed())
+                        search.time_to_deadline()
                     );
                     self.metrics.resumed();
+                    search.begun = Instant::now();
                     options = DispatchOptions { may_redirect: false, resumed: true, shard_count };
                 }
                 Err(SubmitError::Lost(e)) => {
@@ -252,7 +272,7 @@
                     return Err(UnknownCause::DispatcherLost);
                 }
             }
-            self.wait_for_dispatcher(&submission, options, begun).await;
+            self.wait_for_dispatcher(submission.id, options, search).await;
         }
     }
 
@@ -267,15 +287,10 @@
     }
 
     /// Whether a job should wait for the election of its shard's dispatcher.
-    fn awaits_dispatcher(&self, submission: &JobSubmission, begun: Instant) -> bool {
-        let waited = begun.elapsed();
-        let time_to_deadline = submission.time_to_deadline.saturating_sub(waited);
+    fn awaits_dispatcher(&self, job: CallerJobId, search: DispatcherSearch) -> bool {
+        let missing_for = self.link_for(job).missing_for();
         self.enables(Mechanism::ElectionWait)
-            && should_await_dispatcher(
-                self.link_for(submission.id).missing_for(),
-                waited,
-                time_to_deadline,
-            )
+            && should_await_dispatcher(missing_for, search.elapsed(), search.time_to_deadline())
     }
 
     /// Waits until this process can barely send an answer before it exits.
@@ -297,19 +312,19 @@
     }
 
     /// Waits until a job's shard has a dispatcher. A job that has not run waits only while an election is
-    /// probably in progress; others wait at most until [`MAX_DISPATCHER_SEARCH`] has passed since
-    /// `begun`, since no other zone can run them.
+    /// probably in progress; others wait at most for [`MAX_DISPATCHER_SEARCH`], since no other zone can
+    /// run them.
     async fn wait_for_dispatcher(
         self: &Rc<Self>,
-        submission: &JobSubmission,
+        job: CallerJobId,
         options: DispatchOptions,
-        begun: Instant,
+        search: DispatcherSearch,
     ) {
         sleep(SEARCH_INTERVAL).await;
-        while !self.dispatches_job(submission.id)
-            && self.link_for(submission.id).get().is_none()
-            && begun.elapsed() < MAX_DISPATCHER_SEARCH
-            && (options.resumed || self.awaits_dispatcher(submission, begun))
+        while !self.dispatches_job(job)
+            && self.link_for(job).get().is_none()
+            && search.elapsed() < MAX_DISPATCHER_SEARCH
+            && (options.resumed || self.awaits_dispatcher(job, search))
         {
             sleep(SEARCH_INTERVAL).await;
         }
