--- a/src/coordination/dispatch/forecast.rs
+++ b/src/coordination/dispatch/forecast.rs
@@ -88,7 +88,7 @@
                 && !self.is_evacuated(t)
         };
         for target in self.targets.values().filter(being_taken_over) {
-            for _ in 0..target.usable_cpu(now).0 / slot_cpu.max(1) {
+            for _ in 0..target.slots(slot_cpu, now) {
                 forecast.add_slot(SlownessBucket::new(1.0), now + TAKEOVER_DURATION);
             }
         }
@@ -102,7 +102,7 @@
         let running = self.targets.values().flat_map(|t| t.runs.values()).map(|r| r.needs.cpu.0);
         let (mut sum, mut count) = (0, 0);
         for cpu in waiting.chain(running).filter(|&cpu| cpu > 0) {
-            sum += cpu;
+            sum = u64::saturating_add(sum, cpu);
             count += 1;
         }
         u64::checked_div(sum, count).unwrap_or(DEFAULT_TASK_MILLICORES)
--- a/src/coordination/dispatch/size_forecast.rs
+++ b/src/coordination/dispatch/size_forecast.rs
@@ -48,8 +48,8 @@
     ) -> Option<Moment> {
         let fits_at = |start: Moment| {
             let overlaps = |o: &&Occupancy| o.end > start && o.start < start + run_time;
-            let used: u64 = self.occupied.iter().filter(overlaps).map(|o| o.millicores).sum();
-            used + millicores <= self.millicores
+            let occupied = self.occupied.iter().filter(overlaps).map(|o| o.millicores);
+            occupied.fold(millicores, u64::saturating_add) <= self.millicores
         };
         let is_early = |start: &Moment| limit.is_none_or(|limit| *start < limit);
         let starts = std::iter::once(now).chain(self.occupied.iter().map(|o| o.end.max(now)));
@@ -154,7 +154,7 @@
         let targets: Vec<TargetForecast> = targets.collect();
         let occupied = targets.iter().flat_map(|t| &t.occupied);
         let work = occupied.map(|o| o.millicores as f64 * (o.end - now).as_secs_f64()).sum();
-        let millicores = targets.iter().map(|t| t.millicores).sum();
+        let millicores = targets.iter().map(|t| t.millicores).fold(0, u64::saturating_add);
         SizeForecast { pool, targets: Arc::new(targets), placed_tasks: 0, millicores, work }
     }
 }
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -1,6 +1,7 @@
 //! Targets as known to a dispatcher: state, resources, leases, and runs of tasks.
 
 use super::{
+    cold_period::ColdPeriod,
     fleet_config::{Label, PoolName},
     id::ZoneName,
     job_submission::{RunNumber, TaskId},
@@ -18,8 +19,9 @@
 /// so that the run's lease expires if no stop request arrives. Twice the usual request timeout.
 const STOP_CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Share of a target's CPU that is usable when the target has just become cold.
-const MIN_COLD_SHARE: f64 = 0.25;
+/// Largest number of tasks that a forecast expects to run at once on a target. It bounds the cost of
+/// forecasts where a target claims to have any capacity or tasks need next to none.
+pub const MAX_SLOTS: u64 = 1_000;
 
 /// Name of a target, unique on the platform.
 #[derive(
@@ -274,57 +276,6 @@
     pub ejection_duration: Duration,
 }
 
-/// The last period in which a target was cold, and therefore slow.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ColdPeriod {
-    /// Incarnation and remaining cold time of the list entry that was applied last. The same entry
-    /// is listed again whenever another target changes, which doesn't prolong the period.
-    entry: (TargetIncarnation, Duration),
-    since: Moment,
-    until: Moment,
-}
-
-impl ColdPeriod {
-    /// Applies a list entry. An entry of the same incarnation with less time left adjusts the end
-    /// of the current period; any other change to a cold target begins a new one.
-    pub fn update(&mut self, info: &TargetInfo, now: Moment) {
-        let entry = (info.incarnation, info.cold_for);
-        if entry == self.entry {
-            return;
-        }
-        let (incarnation, cold_for) = std::mem::replace(&mut self.entry, entry);
-        if info.cold_for.is_zero() {
-            self.until = self.until.min(now);
-            return;
-        }
-        let is_countdown = info.incarnation == incarnation && info.cold_for < cold_for;
-        if !(is_countdown && self.is_cold(now)) {
-            self.since = now;
-        }
-        self.until = now + info.cold_for;
-    }
-
-    /// Returns true until the target has warmed up.
-    pub fn is_cold(&self, now: Moment) -> bool {
-        now < self.until
-    }
-
-    /// Whether the time from `start` to `end` overlaps the period.
-    pub fn overlaps(&self, start: Moment, end: Moment) -> bool {
-        start < self.until && end > self.since
-    }
-
-    /// Usable share of the target's CPU: a quarter at the beginning of the period, from
-    /// where it rises linearly to 1 at its end.
-    pub fn usable_share(&self, now: Moment) -> f64 {
-        if !self.is_cold(now) {
-            return 1.0;
-        }
-        let elapsed = (now - self.since).as_secs_f64() / (self.until - self.since).as_secs_f64();
-        MIN_COLD_SHARE + (1.0 - MIN_COLD_SHARE) * elapsed
-    }
-}
-
 /// A target that this dispatcher owns or is taking over from an earlier one.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -454,11 +405,18 @@
         if self.runs.is_empty() { free } else { Resources { cpu: self.free_cpu(now), ..free } }
     }
 
-    /// Number of tasks that need `task_cpu` thousandths of a core each and may be started now.
+    /// Number of tasks that need `task_cpu` thousandths of a core each and may be started now, at most
+    /// [`MAX_SLOTS`].
     pub fn free_slots(&self, task_cpu: u64, now: Moment) -> u64 {
         let task_cpu = task_cpu.max(1);
         let first = self.startable_resources(now).cpu.0 / task_cpu;
-        (self.free_cpu(now).0 / task_cpu).max(first.min(1))
+        (self.free_cpu(now).0 / task_cpu).max(first.min(1)).min(MAX_SLOTS)
+    }
+
+    /// Number of tasks that need `task_cpu` thousandths of a core each and may run at once, at most
+    /// [`MAX_SLOTS`].
+    pub fn slots(&self, task_cpu: u64, now: Moment) -> u64 {
+        (self.usable_cpu(now).0 / task_cpu.max(1)).min(MAX_SLOTS)
     }
 
     /// Latest time at which a lease that this dispatcher granted on the target may expire.
--- a/tests/dispatch/malformed.rs
+++ b/tests/dispatch/malformed.rs
@@ -4,8 +4,8 @@
 use crate::simulation::{LONG, Simulation, URGENT, config, ms, submission};
 use cranberrytray::state::{
     job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, RunNumber, TaskId},
-    resources::{MilliCores, Resources},
-    target::{RunningRun, TargetId, TargetReport, TargetTime},
+    resources::{Accelerators, Mebibytes, MilliCores, Resources},
+    target::{RunningRun, TargetId, TargetIncarnation, TargetInfo, TargetReport, TargetTime},
 };
 use std::{sync::Arc, time::Duration};
 
@@ -61,3 +61,28 @@
     assert_eq!(sim.duplicate_runs, []);
     assert_serves(&mut sim, 8);
 }
+
+/// Guards against dispatchers that end again and again because of one entry among the targets: with a
+/// capacity of billions of cores, forecasts needed more memory than any machine has.
+#[test]
+fn target_with_huge_numbers_is_survived() {
+    let huge: [fn(&mut TargetInfo); 3] = [
+        |info| {
+            info.capacity = Resources {
+                cpu: MilliCores(u64::MAX),
+                memory: Mebibytes(u64::MAX),
+                accelerators: Accelerators(u64::MAX),
+            };
+        },
+        |info| info.cold_for = Duration::MAX,
+        |info| info.incarnation = TargetIncarnation(u64::MAX),
+    ];
+    for change in huge {
+        let mut sim = Simulation::new(3).take_over();
+        let mut odd = sim.unlist_target(2);
+        change(&mut odd);
+        sim.list_target(odd);
+        assert_serves(&mut sim, 8);
+        assert_eq!(sim.duplicate_runs, []);
+    }
+}
