Let a leaving dispatcher finish its long jobs

Callers whose job ran on a dispatcher that is shut down got an unknown outcome 2.5 s after SIGTERM, with 3 s left until its process had to end: it released all targets after 2.5 s, 'more than the longest deadline', and stepped down. Its process could end before, at 3.8 s, as it waited only for its own callers' requests.

A leaving dispatcher keeps the targets with runs until its jobs or its process end; targets without runs are released after 2.5 s as before.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -65,7 +65,7 @@
 
 /// Weight of one run in the slowness estimate of a kind of target; dozens of runs end per second.
 const KIND_SLOWNESS_WEIGHT: f64 = 0.02;
-/// Maximum number of open jobs; more than the largest sites can run within one deadline.
+/// Maximum number of open jobs; more than the largest sites can run at once.
 const MAX_OPEN_JOBS: usize = 4_096;
 
 /// Number that the dispatcher gives to a submission. Submissions with the same job id join one job,
@@ -400,10 +400,11 @@
         self.handing_over = true;
     }
 
-    /// Returns the targets that a leaving dispatcher still uses: all while tasks wait, afterwards
-    /// those with runs.
-    pub fn targets_in_use(&self) -> Vec<TargetId> {
-        let is_in_use = |t: &&Target| !self.queued_jobs.is_empty() || !t.runs.is_empty();
+    /// Returns the targets that a leaving dispatcher still uses: those with runs, and the others too
+    /// while tasks wait, if `awaits_starts`.
+    pub fn targets_in_use(&self, awaits_starts: bool) -> Vec<TargetId> {
+        let awaits_starts = awaits_starts && !self.queued_jobs.is_empty();
+        let is_in_use = |t: &&Target| awaits_starts || !t.runs.is_empty();
         self.targets.values().filter(is_in_use).map(|t| t.info.id.clone()).collect()
     }
 
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -151,6 +151,11 @@
         });
     }
 
+    /// Whether this VM dispatches jobs that are not answered yet.
+    pub fn has_open_jobs(&self) -> bool {
+        self.dispatcher.borrow().as_ref().is_some_and(|d| d.core.open_jobs() > 0)
+    }
+
     /// Stops being the dispatcher, and answers the open submissions with the outcome that is known.
     pub(super) fn step_down(self: &Rc<Self>, reason: &str) {
         let Some(mut old) = self.dispatcher.borrow_mut().take() else { return };
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -1,8 +1,8 @@
 //! Hands the role of a shard's dispatcher over to a successor, without interrupting running tasks.
 //!
-//! The leaving dispatcher accepts no new jobs. It keeps all targets while tasks wait, then those
-//! with runs. The successor takes over the targets that are not kept, and all of them once the
-//! predecessor has finished or is unresponsive.
+//! The leaving dispatcher accepts no new jobs. At first it keeps all targets while tasks wait, then those
+//! with runs, until its jobs or its process end. The successor takes over the targets that are not kept,
+//! and all of them once the predecessor has finished or is unresponsive.
 
 use super::{Node, TargetClient, dispatcher::DispatcherState, election};
 use crate::{
@@ -19,8 +19,10 @@
 const UPDATE_INTERVAL: Duration = Duration::from_millis(40);
 /// A successor takes over all targets if no such list arrives for this long, ten intervals.
 const PREDECESSOR_TIMEOUT: Duration = Duration::from_millis(400);
-/// The leaving dispatcher releases all targets after this time, more than the longest deadline.
-const MAX_HANDOVER: Duration = Duration::from_millis(2_500);
+/// The leaving dispatcher releases targets without runs after this time, although tasks wait.
+const MAX_WAIT_FOR_STARTS: Duration = Duration::from_millis(2_500);
+/// A leaving dispatcher searches a successor for at most this long.
+const MAX_SUCCESSOR_SEARCH: Duration = Duration::from_millis(2_500);
 
 impl<T> Node<T>
 where
@@ -32,7 +34,7 @@
         let begun = Instant::now();
         while self.enables(Mechanism::Handover)
             && self.is_dispatcher()
-            && begun.elapsed() < MAX_HANDOVER
+            && begun.elapsed() < MAX_SUCCESSOR_SEARCH
         {
             let (index, count) = (self.shard_index(), self.shard_count());
             for peer in self.shard_peers(index) {
@@ -76,9 +78,13 @@
         self.shard_link(self.shard_index()).set(Some(Rc::clone(link)));
         let begun = Instant::now();
         loop {
-            let kept = self.with_dispatcher(|d| d.core.targets_in_use()).unwrap_or_default();
-            let kept = if begun.elapsed() > MAX_HANDOVER { Vec::new() } else { kept };
-            self.with_dispatcher(|d| d.core.retain_targets(&kept));
+            let awaits_starts = begun.elapsed() <= MAX_WAIT_FOR_STARTS;
+            let kept = self.with_dispatcher(|d| {
+                let kept = d.core.targets_in_use(awaits_starts);
+                d.core.retain_targets(&kept);
+                kept
+            });
+            let kept = kept.unwrap_or_default();
             let sent = link.hand_over(epoch, &kept).await;
             if kept.is_empty() || sent.is_err() {
                 break;
