Remove the mechanisms for jobs with hard deadlines

Gone are fast-target-wait, busy-target-wait, relative-fast-limit, deadline-safety, fast-redirect and begun-jobs-first, with the spare CPU of fast targets in reports, logs and the log line on jobs completed in time. The field of the wire stays, unused: a VM of an earlier version reads no such spare CPU and redirects no job for it.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -99,7 +99,7 @@
   spareMilliCores @4 :UInt64;
   # CPU of the sender's targets that other zones may use; 0 unless the sender is a dispatcher.
   spareFastMilliCores @7 :UInt64;
-  # Such CPU on fast targets only, for jobs whose objective is their deadline.
+  # Unused: such CPU on fast targets only, which earlier versions send and read.
   zones @5 :List(ZoneDispatcher);
   leaving @6 :Bool;
   losses @8 :List(TaskLosses);
--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Action, DeferredSubmission, Dispatcher, JobLabel, LogEvent, MAX_OPEN_JOBS, Rank, RemoteShard,
-    SpareCpu, SubmissionKey, job::Job,
+    SubmissionKey, job::Job,
 };
 use crate::state::{
     fleet_config::Queue,
@@ -10,6 +10,7 @@
         CallerJobId, JobSubmission, Outcome, Refusal, Step, chain_durations, validate_steps,
     },
     mechanism::Mechanism,
+    resources::MilliCores,
     shard::Shard,
     target::Target,
     time::Moment,
@@ -32,10 +33,6 @@
 /// A job that would wait here is redirected to a shard whose spare CPU is this many times what the
 /// job takes, since the reported value is up to a tenth of a second old.
 const WAITING_JOB_SPARE_FACTOR: u64 = 2;
-/// A job with a hard deadline that doesn't fit on this shard's fast targets is redirected to a shard
-/// where it does, or whose spare fast CPU exceeds this one's by `1 / FAST_MARGIN_DIVISOR` of what
-/// the job takes; a smaller lead may be used up by the time the job arrives there.
-const FAST_MARGIN_DIVISOR: u64 = 4;
 /// Retry delay of jobs refused because no target or no queue is known for them.
 pub(super) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -216,20 +213,18 @@
         let id = submission.id;
         let mut job = self.new_job(submission, &queue, arrived_at);
         job.may_redirect = origin == Origin::Caller;
-        let rank = self.rank_of(&job, key);
+        let rank = Rank { priority: job.priority, key };
         let mut forecast = self.forecast(now);
         self.schedule_ahead(&mut forecast, Some(rank), now);
         let ahead = self.queued_jobs.iter().take_while(|other| **other < rank).count();
         let end = self.schedule_waiting(&mut forecast, &job, now);
         let wide_end = self.wide_job_end(&job, &self.large_task_pools(), None, now);
         let end = end.map(|end| wide_end.map_or(end, |wide_end| end.max(wide_end)) + self.lag());
-        let cpu = job.submission.total_millicores();
+        let cpu = job.submission.total_cpu();
         let late = end.is_none_or(|end| end > job.objective);
         let shard = match origin {
-            Origin::Caller if !is_servable => {
-                self.best_remote_shard(0, now, |s| s.total_millicores)
-            }
-            Origin::Caller => self.choose_remote_shard(&job, late, cpu, now),
+            Origin::Caller if !is_servable => self.best_remote_shard(MilliCores(0), now),
+            Origin::Caller => self.choose_remote_shard(late, cpu, now),
             Origin::OtherShard | Origin::Deferred => None,
         };
         if let Some(shard) = shard {
@@ -320,47 +315,29 @@
     }
 
     /// Returns the shard that a job should be redirected to, if any. `cpu` is what all tasks of the
-    /// job take together, in thousandths of a core; `late` is whether it would miss its objective
-    /// here.
-    fn choose_remote_shard(&self, job: &Job, late: bool, cpu: u64, now: Moment) -> Option<Shard> {
-        let spare = self.spare_cpu(now);
-        let lacks_fast = self.enables(Mechanism::FastRedirect)
-            && job.has_hard_deadline()
-            && spare.fast_millicores < cpu;
-        let would_wait = self.enables(Mechanism::WaitingRedirect)
-            && !job.has_hard_deadline()
-            && spare.total_millicores < cpu;
-        let min_fast = cpu.min(spare.fast_millicores.saturating_add(cpu / FAST_MARGIN_DIVISOR));
-        let shard_with_fast =
-            || self.best_remote_shard(min_fast, now, |spare| spare.fast_millicores);
-        let shard_with_ample = || self.ample_shard(cpu, now);
-        let shard_with_some = || {
-            self.best_remote_shard(cpu / LATE_JOB_SPARE_DIVISOR, now, |spare| {
-                spare.total_millicores
-            })
-        };
-        let shard = if lacks_fast { shard_with_fast() } else { None };
-        let shard = shard.or_else(|| if would_wait { shard_with_ample() } else { None });
-        let late = late && self.enables(Mechanism::LateRedirect);
-        shard.or_else(|| if late { shard_with_some() } else { None })
+    /// job take together; `late` is whether it would miss its objective here.
+    fn choose_remote_shard(&self, late: bool, cpu: MilliCores, now: Moment) -> Option<Shard> {
+        let would_wait = self.enables(Mechanism::WaitingRedirect) && self.spare_cpu(now) < cpu;
+        let ample = if would_wait { self.ample_shard(cpu, now) } else { None };
+        ample.or_else(|| {
+            let late = late && self.enables(Mechanism::LateRedirect);
+            let min_spare = MilliCores(cpu.0 / LATE_JOB_SPARE_DIVISOR);
+            if late { self.best_remote_shard(min_spare, now) } else { None }
+        })
     }
 
     /// Returns the shard with the most spare CPU, if it has ample for a job that takes `cpu`.
-    pub(super) fn ample_shard(&self, cpu: u64, now: Moment) -> Option<Shard> {
-        let min_spare = cpu.saturating_mul(WAITING_JOB_SPARE_FACTOR);
-        self.best_remote_shard(min_spare, now, |spare| spare.total_millicores)
+    pub(super) fn ample_shard(&self, cpu: MilliCores, now: Moment) -> Option<Shard> {
+        let min_spare = MilliCores(cpu.0.saturating_mul(WAITING_JOB_SPARE_FACTOR));
+        self.best_remote_shard(min_spare, now)
     }
 
-    /// Returns the shard with the most spare CPU, as selected by `spare_of`, if it has at least
-    /// `min_spare`; one of this zone, if there is such a one.
-    fn best_remote_shard<F>(&self, min_spare: u64, now: Moment, spare_of: F) -> Option<Shard>
-    where
-        F: Fn(SpareCpu) -> u64,
-    {
-        let candidates =
-            self.redirect_targets(now).filter(|(_, remote)| spare_of(remote.spare) >= min_spare);
+    /// Returns the shard with the most spare CPU, if it has at least `min_spare`; one of this zone, if
+    /// there is such a one.
+    fn best_remote_shard(&self, min_spare: MilliCores, now: Moment) -> Option<Shard> {
+        let candidates = self.redirect_targets(now).filter(|(_, remote)| remote.spare >= min_spare);
         let preference = |(shard, remote): &(&Shard, &RemoteShard)| {
-            (self.is_own_zone(&shard.zone), spare_of(remote.spare))
+            (self.is_own_zone(&shard.zone), remote.spare)
         };
         candidates.max_by_key(preference).map(|(shard, _)| shard.clone())
     }
@@ -382,14 +359,13 @@
         keys: &[SubmissionKey],
         id: CallerJobId,
         shard: Shard,
-        cpu: u64,
+        cpu: MilliCores,
         now: Moment,
     ) {
         let local_spare = self.spare_cpu(now);
         let Some(remote) = self.remote_shards.get_mut(&shard) else { return };
         let (remote_spare, age) = (remote.spare, now - remote.updated_at);
-        remote.spare.total_millicores = remote.spare.total_millicores.saturating_sub(cpu);
-        remote.spare.fast_millicores = remote.spare.fast_millicores.saturating_sub(cpu);
+        remote.spare = MilliCores(remote.spare.0.saturating_sub(cpu.0));
         let to = remote.address;
         self.counts.redirected += 1;
         self.log(LogEvent::Redirected { id, shard: shard.clone(), local_spare, remote_spare, age });
--- a/src/coordination/dispatch/evacuation.rs
+++ b/src/coordination/dispatch/evacuation.rs
@@ -7,6 +7,7 @@
     state::{
         id::ZoneName,
         job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, Step, TaskId},
+        resources::MilliCores,
         shard::Shard,
         target::{Target, TargetId, TargetInfo},
         time::Moment,
@@ -186,7 +187,7 @@
     /// Redirects or refuses a job of which nothing was started.
     fn release_waiting_job(&mut self, key: SubmissionKey, now: Moment) {
         let Some(job) = self.jobs.get(&key) else { return };
-        let cpu = job.submission.total_millicores();
+        let cpu = job.submission.total_cpu();
         let shard = if job.may_redirect { self.choose_receiving_shard(cpu, now) } else { None };
         let Some(shard) = shard else {
             let (label, age) = (JobLabel::from(&job.submission), now - job.arrived_at);
@@ -213,7 +214,7 @@
     ) {
         // A job with suspects was started when it was submitted before.
         let may_redirect = may_redirect && !self.crash_history.has_suspects(submission.id);
-        let cpu = submission.total_millicores();
+        let cpu = submission.total_cpu();
         match self.choose_receiving_shard(cpu, now).filter(|_| may_redirect) {
             Some(shard) => self.redirect_evacuated(keys, submission, shard, now),
             None => {
@@ -230,21 +231,21 @@
         shard: Shard,
         now: Moment,
     ) {
-        let cpu = submission.total_millicores();
-        let millicores = self.sent_millicores(&shard, now) + cpu as f64;
+        let cpu = submission.total_cpu();
+        let millicores = self.sent_millicores(&shard, now) + cpu.0 as f64;
         self.evacuations.sent.insert(shard.clone(), SentCpu { millicores, updated_at: now });
         self.counts.evacuation_redirects += 1;
         self.redirect_to_shard(keys, submission.id, shard, cpu, now);
     }
 
-    /// Returns the shard that should receive a job that needs `cpu` thousandths of a core: the one
-    /// with the highest ratio of spare CPU to the CPU sent there recently, so that each shard gets a
+    /// Returns the shard that should receive a job whose tasks need `cpu` together: the one with the
+    /// highest ratio of spare CPU to the CPU sent there recently, so that each shard gets a
     /// share by its spare CPU. If no shard has spare CPU, it is the one to which the least was sent.
-    fn choose_receiving_shard(&self, cpu: u64, now: Moment) -> Option<Shard> {
-        let load = |shard: &Shard| self.sent_millicores(shard, now) + cpu.max(1) as f64;
-        let rated = self.redirect_targets(now).map(|(shard, remote)| {
-            (shard, remote.spare.total_millicores as f64 / load(shard), load(shard))
-        });
+    fn choose_receiving_shard(&self, cpu: MilliCores, now: Moment) -> Option<Shard> {
+        let load = |shard: &Shard| self.sent_millicores(shard, now) + cpu.0.max(1) as f64;
+        let rated = self
+            .redirect_targets(now)
+            .map(|(shard, remote)| (shard, remote.spare.0 as f64 / load(shard), load(shard)));
         let best = rated.max_by(|(_, spare, load), (_, other_spare, other_load)| {
             spare.total_cmp(other_spare).then(other_load.total_cmp(load))
         });
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -6,7 +6,6 @@
     state::{
         fleet_config::Priority,
         job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, RunNumber, Step, TaskId},
-        mechanism::Mechanism,
         target::TargetId,
         time::{Moment, scale},
     },
@@ -201,18 +200,7 @@
 
 impl Dispatcher {
     pub(super) fn rank(&self, key: SubmissionKey) -> Option<Rank> {
-        Some(self.rank_of(self.jobs.get(&key)?, key))
-    }
-
-    /// Rank of a job. All work of a job with a hard deadline is lost if one of its tasks ends too late,
-    /// so once it has begun it comes before others.
-    pub(super) fn rank_of(&self, job: &Job, key: SubmissionKey) -> Rank {
-        let is_begun = job.start_sent && job.has_hard_deadline();
-        Rank {
-            yields_to_begun: !(is_begun && self.enables(Mechanism::BegunJobsFirst)),
-            priority: job.priority,
-            key,
-        }
+        Some(Rank { priority: self.jobs.get(&key)?.priority, key })
     }
 
     /// Queues a job if some of its tasks wait, and removes it from the queue otherwise.
@@ -239,8 +227,6 @@
             if now > job.objective {
                 let late_by = now - job.objective;
                 self.log(LogEvent::CompletedLate { job: label, age, late_by, scale });
-            } else if job.has_hard_deadline() {
-                self.log(LogEvent::Completed { job: label, age, scale });
             }
         }
         let id = job.submission.id;
@@ -310,13 +296,12 @@
         let open_steps: IndexSet<u32> = open_tasks.map(|(id, _)| id.step).collect();
         let steps = open_steps.iter().filter_map(|&n| job.submission.steps.get(n as usize));
         let fastest = steps.filter_map(|step| self.min_run_time(key, step, now)).max();
-        let remote_fast =
-            self.remote_shards.values().map(|shard| shard.spare.fast_millicores).max();
+        let remote = self.remote_shards.values().map(|shard| shard.spare).max();
         Outlook {
             left: job.deadline - now,
             fastest,
             spare: self.spare_cpu(now),
-            remote_fast: remote_fast.unwrap_or_default(),
+            remote: remote.unwrap_or_default(),
         }
     }
 }
--- a/src/coordination/dispatch/lag.rs
+++ b/src/coordination/dispatch/lag.rs
@@ -44,7 +44,7 @@
         now: Moment,
     ) {
         self.counts.shed_for_lag += 1;
-        let cpu = submission.total_millicores();
+        let cpu = submission.total_cpu();
         let has_suspects = self.crash_history.has_suspects(submission.id);
         let shard = if may_redirect && !has_suspects { self.ample_shard(cpu, now) } else { None };
         match shard {
--- a/src/coordination/dispatch/log_event.rs
+++ b/src/coordination/dispatch/log_event.rs
@@ -1,13 +1,11 @@
 //! Events that a dispatcher writes to the log.
 
-use super::{
-    SpareCpu,
-    run_log::{ClosedRun, FoundRun, RunHistory},
-};
+use super::run_log::{ClosedRun, FoundRun, RunHistory};
 use crate::state::{
     fleet_config::QueueName,
     id::ZoneName,
     job_submission::{CallerJobId, JobSubmission, Refusal, RunNumber, Step, TaskId},
+    resources::MilliCores,
     shard::Shard,
     target::{FencingToken, RunOutcome, TargetId, TargetIncarnation, TargetTime},
 };
@@ -44,9 +42,8 @@
 /// What a dispatcher knows of the chance that a job ends in time.
 #[derive(Clone, Copy, Debug, Display, PartialEq)]
 #[display(
-    "left={left:?} fastest={} here_fast={}m elsewhere_fast={remote_fast}m",
-    fastest.map_or("none".into(), |run_time| format!("{run_time:?}")),
-    spare.fast_millicores
+    "left={left:?} fastest={} here={spare} elsewhere={remote}",
+    fastest.map_or("none".into(), |run_time| format!("{run_time:?}"))
 )]
 pub struct Outlook {
     /// Time until the deadline of the job.
@@ -55,9 +52,9 @@
     /// if no target is usable.
     pub fastest: Option<Duration>,
     /// Spare CPU of this zone.
-    pub spare: SpareCpu,
-    /// Most spare CPU on fast targets that another zone has reported, in thousandths of a core.
-    pub remote_fast: u64,
+    pub spare: MilliCores,
+    /// Most spare CPU that another shard has reported.
+    pub remote: MilliCores,
 }
 
 /// A decision or a change of state, written to the log by the driver.
@@ -94,10 +91,10 @@
         /// Zone that should run the job.
         shard: Shard,
         /// Spare CPU of this zone.
-        local_spare: SpareCpu,
+        local_spare: MilliCores,
         /// Spare CPU of the other zone as last reported, minus the CPU that jobs redirected there
         /// since then need.
-        remote_spare: SpareCpu,
+        remote_spare: MilliCores,
         /// Age of the other zone's last report.
         age: Duration,
     },
@@ -227,15 +224,6 @@
         /// Its chance to end in time, if it was abandoned for that.
         outlook: Option<Outlook>,
     },
-    /// A job with a hard deadline was completed in time.
-    Completed {
-        /// The job.
-        job: JobLabel,
-        /// Time since the job was submitted.
-        age: Duration,
-        /// Run time of its tasks relative to what was expected.
-        scale: f64,
-    },
     /// A job was completed after its latency objective.
     CompletedLate {
         /// The job.
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -14,7 +14,6 @@
 mod counts;
 pub mod crashes;
 pub mod evacuation;
-mod fast_targets;
 pub mod forecast;
 pub mod job;
 mod lag;
@@ -39,6 +38,7 @@
     job_submission::{CallerJobId, JobSubmission, Outcome, RunNumber, TaskId},
     lag::LagMeter,
     mechanism::{Mechanism, MechanismSet},
+    resources::MilliCores,
     rtt::RttEstimator,
     run_time::RunTimeEstimator,
     shard::Shard,
@@ -49,7 +49,6 @@
 pub use counts::Counts;
 use derive_more::Display;
 use evacuation::Evacuations;
-use fast_targets::FastLimit;
 use indexmap::{IndexMap, IndexSet};
 use job::Job;
 pub use log_event::{JobLabel, LogEvent, Outlook};
@@ -137,22 +136,13 @@
     Log(LogEvent),
 }
 
-/// Free CPU of a zone minus the CPU that waiting tasks need, in thousandths of a core.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct SpareCpu {
-    /// Spare CPU of all usable targets.
-    pub total_millicores: u64,
-    /// Free CPU of fast targets minus what waiting tasks of jobs with a hard deadline need.
-    pub fast_millicores: u64,
-}
-
 /// Another shard of this zone or of another one, as last reported by its dispatcher.
 #[derive(Clone, Debug)]
 pub struct RemoteShard {
     /// Address of the shard's dispatcher.
     pub address: SocketAddr,
     /// Reported spare CPU, minus the CPU that jobs redirected there since then need.
-    pub spare: SpareCpu,
+    pub spare: MilliCores,
     /// Moment at which the report arrived.
     pub updated_at: Moment,
 }
@@ -172,8 +162,6 @@
 /// Sort key of the queue, most urgent job first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
-    /// False for begun jobs with a hard deadline, which come before all others.
-    yields_to_begun: bool,
     priority: crate::state::fleet_config::Priority,
     key: SubmissionKey,
 }
@@ -207,8 +195,6 @@
     /// Tokens for starts of tasks that are main suspects of a crash; a crash uses one up.
     crash_tokens: TokenBucket,
     run_times: RunTimeEstimator<QueueName, Label>,
-    /// Which targets are fast, as of the last tick.
-    fast_limit: FastLimit,
     /// CPU that the submitted tasks of each pool need.
     task_sizes: IndexMap<PoolName, TaskSizes>,
     /// Round-trip estimate of start requests.
@@ -261,7 +247,6 @@
             crash_history: CrashHistory::default(),
             crash_tokens: TokenBucket::new(0.0, 1.0),
             run_times: RunTimeEstimator::with_worker_weight(KIND_SLOWNESS_WEIGHT),
-            fast_limit: FastLimit::default(),
             task_sizes: IndexMap::new(),
             rtt: RttEstimator::default(),
             renewal_loss_rate: 0.0,
@@ -328,31 +313,20 @@
         &mut self,
         shard: Shard,
         address: SocketAddr,
-        spare: SpareCpu,
+        spare: MilliCores,
         now: Moment,
     ) {
         self.remote_shards.insert(shard, RemoteShard { address, spare, updated_at: now });
     }
 
-    /// Spare CPU that other zones may use.
-    pub fn spare_cpu(&self, now: Moment) -> SpareCpu {
-        let mut spare = SpareCpu::default();
-        for target in self.targets.values().filter(|t| self.is_usable(t, now)) {
-            let cpu = target.free_cpu(now).0;
-            spare.total_millicores = spare.total_millicores.saturating_add(cpu);
-            if self.fast_limit.is_fast(self.target_slowness(target)) {
-                spare.fast_millicores = spare.fast_millicores.saturating_add(cpu);
-            }
-        }
-        for job in self.queued_jobs.iter().filter_map(|rank| self.jobs.get(&rank.key)) {
-            let steps = job.waiting_tasks.iter().filter_map(|task| job.step(*task));
-            let cpu: u64 = steps.map(|step| step.needs.cpu.0).sum();
-            spare.total_millicores = spare.total_millicores.saturating_sub(cpu);
-            if job.has_hard_deadline() {
-                spare.fast_millicores = spare.fast_millicores.saturating_sub(cpu);
-            }
-        }
-        spare
+    /// Spare CPU that other zones may use: what is free on usable targets, minus what waiting tasks need.
+    pub fn spare_cpu(&self, now: Moment) -> MilliCores {
+        let usable = self.targets.values().filter(|t| self.is_usable(t, now));
+        let free = usable.map(|t| t.free_cpu(now).0).fold(0, u64::saturating_add);
+        let queued = self.queued_jobs.iter().filter_map(|rank| self.jobs.get(&rank.key));
+        let waiting = queued.flat_map(|job| job.waiting_tasks.iter().filter_map(|t| job.step(*t)));
+        let needed = waiting.map(|step| step.needs.cpu.0).fold(0, u64::saturating_add);
+        MilliCores(free.saturating_sub(needed))
     }
 
     /// Run time of tasks on a target relative to a usual one, from its kind and its own runs.
@@ -384,7 +358,6 @@
         self.submitters.on_tick(now);
         self.check_suspension(now);
         self.lag_meter.on_timer(now);
-        self.update_fast_limit();
         self.expire_jobs(now);
         self.expire_losses(now);
         self.release_evacuated_jobs(now);
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -1,8 +1,8 @@
 //! Placement: which task is started on which target.
 
 use super::{
-    Action, Dispatcher, SubmissionKey, forecast::OVERDUE_EXTENSION, job::Job,
-    replies::FULL_TARGET_PAUSE, reservation::PassPlan, size_match::run_time_class,
+    Action, Dispatcher, SubmissionKey, job::Job, replies::FULL_TARGET_PAUSE, reservation::PassPlan,
+    size_match::run_time_class,
 };
 use crate::state::{
     fleet_config::QueueName,
@@ -23,12 +23,6 @@
 /// A target is preferred where a task would meet its job's objective even if it took this many
 /// times its expected run time, since half of all tasks take longer than expected.
 pub(super) const OBJECTIVE_SAFETY: f64 = 1.7;
-/// Like [`OBJECTIVE_SAFETY`] for jobs with a hard deadline. It is higher since an answer after the
-/// objective still has some value, but one after the deadline has none and the whole job is lost.
-const DEADLINE_SAFETY: f64 = 2.5;
-/// A task with a hard deadline waits for the fastest target while it would meet the deadline there
-/// even if it took this many times its expected run time.
-const FAST_TARGET_WAIT_SAFETY: f64 = 2.2;
 
 /// A target on which a task could be started now.
 #[derive(Clone, Debug)]
@@ -47,8 +41,6 @@
     cpu_left: u64,
     /// Number of runs that a crash would take along, counted only if the task is a suspect.
     runs_at_risk: usize,
-    /// Whether no target is worth waiting for, since this one is among the fastest.
-    is_among_fastest: bool,
 }
 
 impl Candidate {
@@ -70,24 +62,10 @@
     }
 }
 
-impl Job {
-    /// Whether the objective is the deadline or close to it, so that a late answer is worth
-    /// nothing.
-    pub(super) fn has_hard_deadline(&self) -> bool {
-        self.deadline - self.objective < (self.objective - self.arrived_at) / 4
-    }
-}
-
 impl Dispatcher {
     /// Factor applied to expected run times when checking whether a task meets the objective.
-    fn safety_factor(&self, job: &Job) -> f64 {
-        if job.has_hard_deadline() && self.enables(Mechanism::DeadlineSafety) {
-            DEADLINE_SAFETY
-        } else if self.enables(Mechanism::ObjectiveSafety) {
-            OBJECTIVE_SAFETY
-        } else {
-            1.0
-        }
+    fn safety_factor(&self) -> f64 {
+        if self.enables(Mechanism::ObjectiveSafety) { OBJECTIVE_SAFETY } else { 1.0 }
     }
 
     /// Starts waiting tasks, those of the most urgent job first, while targets have free resources.
@@ -143,8 +121,7 @@
         true
     }
 
-    /// Returns the best target for a task, or `None` if it fits nowhere now or should wait for a
-    /// faster target.
+    /// Returns the best target for a task, or `None` if it fits nowhere now.
     fn best_target(
         &self,
         key: SubmissionKey,
@@ -173,7 +150,7 @@
                     .most_per_target
                     .is_none_or(|most| job.running_on(task.step, &t.info.id) < most)
         };
-        let safety_factor = self.safety_factor(job);
+        let safety_factor = self.safety_factor();
         let is_suspect = self.is_suspect(task);
         let size_match = self.size_match(key, step, plan);
         let candidates = self.targets.values().filter(fits).filter_map(|t| {
@@ -205,7 +182,6 @@
                 wasted_cpu,
                 cpu_left,
                 runs_at_risk,
-                is_among_fastest: self.is_among_fastest(t),
             })
         });
         let compare = if self.enables(Mechanism::SlowestInTime) {
@@ -213,38 +189,7 @@
         } else {
             Candidate::compare_run_time
         };
-        let best = candidates.min_by(compare)?;
-        let should_wait = !best.in_time
-            && !best.is_among_fastest
-            && job.has_hard_deadline()
-            && (self.enables(Mechanism::FastTargetWait)
-                && self.can_wait_for_fast_target(key, step, now)
-                || self.enables(Mechanism::BusyTargetWait)
-                    && self.ends_sooner_on_busy_target(key, step, &best, now));
-        (!should_wait).then_some(best)
-    }
-
-    /// Whether a task is expected to end sooner on a target where it doesn't fit yet than on
-    /// `free`.
-    fn ends_sooner_on_busy_target(
-        &self,
-        key: SubmissionKey,
-        step: &Step,
-        free: &Candidate,
-        now: Moment,
-    ) -> bool {
-        let Some(job) = self.jobs.get(&key) else { return false };
-        let is_busy = |t: &&Target| {
-            self.is_eligible(job, step, t, now) && !step.needs.fits_in(t.startable_resources(now))
-        };
-        self.targets.values().filter(is_busy).any(|t| {
-            let run_time = self
-                .expected_run_time(&job.submission.queue, step, t)
-                .mul_f64(job.run_time_ratio());
-            let first_end =
-                t.runs.values().map(|run| run.expected_end.max(now + OVERDUE_EXTENSION)).min();
-            first_end.is_some_and(|end| end + run_time < now + free.run_time)
-        })
+        candidates.min_by(compare)
     }
 
     /// Whether tasks of a step may be started on a target once enough of its resources are free.
@@ -257,13 +202,6 @@
             && step.required.as_ref().is_none_or(|label| target.info.has_label(label))
     }
 
-    /// Whether a task may wait for the fastest target and still meet its deadline there.
-    fn can_wait_for_fast_target(&self, key: SubmissionKey, step: &Step, now: Moment) -> bool {
-        let Some(job) = self.jobs.get(&key) else { return false };
-        let fastest = self.min_run_time(key, step, now);
-        fastest.is_some_and(|time| now + time.mul_f64(FAST_TARGET_WAIT_SAFETY) <= job.deadline)
-    }
-
     /// Expected run time of a task on the fastest eligible target, free or not.
     pub(super) fn min_run_time(
         &self,
@@ -317,7 +255,6 @@
         best: &Candidate,
         now: Moment,
     ) {
-        let old_rank = self.rank(key);
         let end_by = self.runs_end_by(key).into_iter().chain(self.leases_end_by(&best.id)).min();
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let Some(target) = self.targets.get_mut(&best.id) else { return };
@@ -354,10 +291,6 @@
         };
         target.add_run(task, run);
         let spec = job.submission.spec.clone();
-        // The caller queues the job again if tasks of it are left.
-        if let Some(old_rank) = old_rank.filter(|old| self.rank(key) != Some(*old)) {
-            self.queued_jobs.remove(&old_rank);
-        }
         let target = &self.targets[&best.id];
         let request = self.run_request(target, task, number);
         self.on_suspect_started(task, now);
--- a/src/fleet/decision_log.rs
+++ b/src/fleet/decision_log.rs
@@ -94,7 +94,6 @@
         LogEvent::SlowRun { .. } => "slow run",
         LogEvent::GivenUp { .. } => "crashes",
         LogEvent::Abandoned { .. } => "gave up",
-        LogEvent::Completed { .. } => "completed",
         LogEvent::CompletedLate { .. } => "late",
         LogEvent::Ejected { .. } => "set aside",
         LogEvent::Unresponsive { .. } => "unresponsive",
@@ -117,12 +116,8 @@
         }
         LogEvent::Redirected { id, shard, local_spare, remote_spare, age } => {
             log::info!(
-                "dispatch: job {id} redirected to {shard}, free={}m fast={}m reported {age:?} ago, \
-                 here free={}m fast={}m",
-                remote_spare.total_millicores,
-                remote_spare.fast_millicores,
-                local_spare.total_millicores,
-                local_spare.fast_millicores
+                "dispatch: job {id} redirected to {shard}, free={remote_spare} reported {age:?} ago, \
+                 here free={local_spare}"
             );
         }
         LogEvent::StartResent { task, target, waited } => {
@@ -196,9 +191,6 @@
                  running={running} scale={scale:.2} caller_left={caller_left:?}{outlook}"
             );
         }
-        LogEvent::Completed { job, age, scale } => {
-            log::info!("dispatch: job {job} completed, age={age:?} scale={scale:.2}");
-        }
         LogEvent::CompletedLate { job, age, late_by, scale } => {
             log::info!(
                 "dispatch: job {job} completed late, age={age:?} late_by={late_by:?} scale={scale:.2}"
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     coordination::dispatch::{
-        Counts, RunRequest, SpareCpu,
+        Counts, RunRequest,
         ownership::LeaseRenewal,
         replies::{LeaseRenewalError, StartReply, StopReply},
         submitters::SubmitterId,
@@ -390,7 +390,7 @@
         let dispatcher = self.dispatcher.borrow();
         let (epoch, spare_cpu) = match &*dispatcher {
             Some(d) if d.successor.is_none() => (d.epoch, d.core.spare_cpu(now)),
-            _ => (0, SpareCpu::default()),
+            _ => Default::default(),
         };
         let losses = dispatcher
             .as_ref()
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -2,7 +2,6 @@
 
 use super::peers::WireError;
 use crate::{
-    coordination::dispatch::SpareCpu,
     fleet_capnp as wire,
     state::{
         crash_history::{Loss, TaskLosses},
@@ -76,7 +75,7 @@
     pub epoch: u64,
     /// Free processor capacity of the sender's targets that other zones may use; zero unless it is
     /// a dispatcher.
-    pub spare_cpu: SpareCpu,
+    pub spare_cpu: MilliCores,
     /// Dispatchers of other zones that the sender knows.
     pub zones: Vec<ZoneDispatcher>,
     /// Whether the sender is shutting down.
@@ -238,10 +237,7 @@
         },
         dispatcher: if dispatcher.is_empty() { None } else { Some(read_address(dispatcher)?) },
         epoch: r.get_epoch(),
-        spare_cpu: SpareCpu {
-            total_millicores: r.get_spare_milli_cores(),
-            fast_millicores: r.get_spare_fast_milli_cores(),
-        },
+        spare_cpu: MilliCores(r.get_spare_milli_cores()),
         zones,
         leaving: r.get_leaving(),
         losses: r.get_losses()?.iter().map(read_task_losses).collect::<Result<_, _>>()?,
@@ -287,8 +283,7 @@
         b.set_dispatcher(dispatcher.to_string().as_str());
     }
     b.set_epoch(heartbeat.epoch);
-    b.set_spare_milli_cores(heartbeat.spare_cpu.total_millicores);
-    b.set_spare_fast_milli_cores(heartbeat.spare_cpu.fast_millicores);
+    b.set_spare_milli_cores(heartbeat.spare_cpu.0);
     b.set_leaving(heartbeat.leaving);
     b.set_evacuation_revision(heartbeat.evacuations.revision());
     let evacuated = heartbeat.evacuations.zones().len() as u32;
--- a/src/state/job_submission.rs
+++ b/src/state/job_submission.rs
@@ -2,7 +2,7 @@
 
 use super::{
     fleet_config::{Label, QueueName},
-    resources::Resources,
+    resources::{MilliCores, Resources},
     time::Moment,
 };
 use derive_more::{Display, Error};
@@ -157,10 +157,10 @@
         arrived_at + self.time_to_deadline.min(MAX_TIME_TO_DEADLINE)
     }
 
-    /// CPU that all tasks take together, in thousandths of a core; [`u64::MAX`] if it is more.
-    pub fn total_millicores(&self) -> u64 {
+    /// CPU that all tasks take together, or the largest amount if it is more.
+    pub fn total_cpu(&self) -> MilliCores {
         let cpu = |step: &Step| step.needs.cpu.0.saturating_mul(step.count.into());
-        self.steps.iter().map(cpu).fold(0, u64::saturating_add)
+        MilliCores(self.steps.iter().map(cpu).fold(0, u64::saturating_add))
     }
 }
 
--- a/src/state/mechanism.rs
+++ b/src/state/mechanism.rs
@@ -30,12 +30,6 @@
     LateRunAbandonment,
     /// Tasks under which targets crash are kept apart, and given up after a few crashes.
     CrashHistory,
-    /// A task with a hard deadline waits for the fastest target while it has slack.
-    FastTargetWait,
-    /// A task with a hard deadline waits for a busy target on which it would end sooner.
-    BusyTargetWait,
-    /// Where few targets are far faster than usual, the fastest ones of them count as fast.
-    RelativeFastLimit,
     /// A task goes to the slowest target on which it is in time, else to the fastest one.
     SlowestInTime,
     /// A target is reserved for a large task that fits nowhere now.
@@ -48,8 +42,6 @@
     WideJobPlan,
     /// Expected run times are multiplied by a safety factor when compared with the objective.
     ObjectiveSafety,
-    /// The safety factor is higher where the objective is the deadline.
-    DeadlineSafety,
     /// The run times of a job's first tasks correct the expected ones of the others.
     JobRunTimes,
     /// Run times are predicted from the declared ones.
@@ -64,8 +56,6 @@
     ShortRenewals,
     /// A start without an answer is sent again before it is stopped.
     RepeatedStarts,
-    /// Jobs with a hard deadline are redirected to zones with more spare CPU on fast targets.
-    FastRedirect,
     /// Jobs that would wait are redirected to zones with ample spare CPU.
     WaitingRedirect,
     /// Jobs that would be late are redirected to zones with some spare CPU.
@@ -79,8 +69,6 @@
     LagShedding,
     /// Waiting jobs that are no longer expected to end in time are refused or abandoned.
     Shedding,
-    /// A job with a hard deadline that has begun comes before all others.
-    BegunJobsFirst,
     /// A submission waits until earlier runs of its job are closed.
     Deferral,
     /// Jobs wait while their zone elects its dispatcher.
