Count latencies up to the longest deadline

The histogram of answers ended at 1.5 s, the longest deadline before: answers to long jobs all fell into its last bucket, so that operators couldn't tell 2 s from 40 s.

--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -20,7 +20,8 @@
 
 /// Upper bounds of the latency histogram's buckets, in seconds: from the run time of a short task
 /// to the longest deadline of the callers' jobs.
-const LATENCY_BUCKETS: [f64; 10] = [0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.9, 1.2, 1.5];
+const LATENCY_BUCKETS: [f64; 14] =
+    [0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.9, 1.5, 3.0, 6.0, 12.0, 30.0, 60.0];
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OutcomeLabel {
