Search schedules of long jobs for tasks that run twice

Mix LONG_JOBS has jobs of up to 8 s for callers that wait 12 s, beside replaced dispatchers, lost entry VMs, crashes and late orders. Schedules of the other mixes are the same as before.

--- a/tests/late_orders/callers.rs
+++ b/tests/late_orders/callers.rs
@@ -2,7 +2,7 @@
 //! the dispatchers.
 
 use crate::{
-    mix::{exponential, log_uniform, ms},
+    mix::{Mix, exponential, log_uniform, ms},
     world::{Event, Input, World},
 };
 use cranberrytray::{
@@ -17,8 +17,10 @@
 use rand::{Rng, rngs::SmallRng};
 use std::time::Duration;
 
-/// Time for which a caller waits for the answer.
+/// Time for which the caller of a short job waits for the answer.
 const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Time for which the caller of a long job waits for the answer.
+const LONG_PATIENCE: Duration = Duration::from_secs(12);
 /// Time after which a caller without an answer submits its job again.
 const RESUBMIT_DELAY: Duration = Duration::from_millis(1_300);
 /// Time without an answer to a heartbeat after which an entry VM gives its dispatcher up.
@@ -29,8 +31,8 @@
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(650);
 /// Time without a sign of life that isn't deducted from the time to the deadline.
 const USUAL_UNPROVEN_TIME: Duration = Duration::from_millis(300);
-/// Longest time after the begin of an attempt at which an entry VM looks for another dispatcher.
-const MAX_SEARCH: Duration = Duration::from_millis(1_200);
+/// An entry VM looks for another dispatcher if more than this is left until the caller's deadline.
+const MIN_TIME_TO_RESUME: Duration = Duration::from_millis(300);
 /// Time after which a job is submitted again that found no dispatcher.
 const NO_DISPATCHER_RETRY: Duration = Duration::from_millis(700);
 const MAX_ATTEMPTS: u32 = 3;
@@ -41,6 +43,8 @@
     id: CallerJobId,
     tasks: u32,
     duration: Duration,
+    /// Time for which its caller waits for the answer.
+    patience: Duration,
     zone: usize,
     attempts: u32,
     is_answered: bool,
@@ -67,12 +71,16 @@
 }
 
 impl Job {
-    pub fn random(id: u64, zones: usize, rng: &mut SmallRng) -> Self {
+    pub fn random(id: u64, mix: Mix, rng: &mut SmallRng) -> Self {
+        let is_long = mix.long_jobs > 0.0 && rng.random_bool(mix.long_jobs);
+        let (longest, patience) =
+            if is_long { (ms(8_000), LONG_PATIENCE) } else { (ms(1_200), PATIENCE) };
         Job {
             id: CallerJobId(id),
             tasks: rng.random_range(1..=4),
-            duration: log_uniform(rng, ms(60), ms(1_200)),
-            zone: rng.random_range(0..zones),
+            duration: log_uniform(rng, ms(60), longest),
+            patience,
+            zone: rng.random_range(0..mix.zones),
             attempts: 0,
             is_answered: false,
         }
@@ -141,7 +149,7 @@
             cancelled_at: None,
         });
         if resumed_from.is_none() {
-            self.push(begun + PATIENCE, Event::Broken(number));
+            self.push(begun + self.jobs[job].patience, Event::Broken(number));
         }
         let echo = self.attempts[number].proven_at;
         self.push_in(HEARTBEAT_INTERVAL, Event::Heartbeat(number, echo));
@@ -159,7 +167,7 @@
         }
         self.push_in(delay, Event::Process(dispatcher, Input::Submission(number)));
         if self.rng.random_bool(self.mix.broken_attempts) {
-            let at = now + PATIENCE.mul_f64(self.rng.random_range(0.0..0.9));
+            let at = now + self.jobs[job].patience.mul_f64(self.rng.random_range(0.0..0.9));
             self.push(at, Event::Broken(number));
         }
     }
@@ -174,7 +182,7 @@
             return self.note(|| format!("d{dispatcher} refuses attempt {number}"));
         }
         self.note(|| format!("d{dispatcher} reads attempt {number}"));
-        let left = PATIENCE.saturating_sub(submitted_at - begun);
+        let left = self.jobs[job].patience.saturating_sub(submitted_at - begun);
         let left = left.saturating_sub(unproven_for.saturating_sub(USUAL_UNPROVEN_TIME));
         let submission = self.jobs[job].submission(left);
         let process = &mut self.processes[dispatcher];
@@ -303,7 +311,7 @@
         }
         self.note(|| format!("attempt {number} of job {job} loses its dispatcher"));
         let search = ms(15) + exponential(&mut self.rng, ms(150));
-        if self.now + search < begun + MAX_SEARCH {
+        if self.now + search + MIN_TIME_TO_RESUME < begun + self.jobs[job].patience {
             self.push_in(search, Event::Resume(job, begun));
         } else {
             self.push_in(RESUBMIT_DELAY, Event::Submit(job));
--- a/tests/late_orders/main.rs
+++ b/tests/late_orders/main.rs
@@ -69,10 +69,15 @@
     assert_runs_alone(Mix::ALL, 0..200, "delayed_steps_of_two_zones_run_alone");
 }
 
+/// A run that lasts for seconds while its dispatchers are replaced, its entry VM is lost, or both.
+#[test]
+fn long_jobs_run_alone() {
+    assert_runs_alone(Mix::LONG_JOBS, 0..200, "long_jobs_run_alone");
+}
+
 /// A run that a replaced dispatcher stops, which is no longer reported but goes on for a moment, beside
 /// the next run of its task.
 #[test]
-
 fn stop_by_replaced_dispatcher_runs_alone() {
     assert_runs_alone(Mix::REPLACEMENTS, 355..356, "stop_by_replaced_dispatcher_runs_alone");
 }
@@ -87,7 +92,6 @@
 /// A start meant for a crashed target, which its next incarnation carries out late: it ends far in
 /// the future on the new clock.
 #[test]
-
 fn late_start_on_restarted_target_runs_alone() {
     assert_runs_alone(Mix::CRASHES, 3_772..3_773, "late_start_on_restarted_target_runs_alone");
 }
--- a/tests/late_orders/mix.rs
+++ b/tests/late_orders/mix.rs
@@ -17,6 +17,8 @@
     /// Time without jobs and faults before the first job.
     pub quiet: Duration,
     pub jobs: u64,
+    /// Jobs whose tasks run for up to 8 s, for callers that wait as long.
+    pub long_jobs: f64,
     /// Orders sent long after the decision.
     pub late_sends: f64,
     /// Orders carried out 0.05 to 1 s late.
@@ -53,6 +55,7 @@
         clock_slowness: 0.0,
         quiet: Duration::from_millis(300),
         jobs: 24,
+        long_jobs: 0.0,
         late_sends: 0.0,
         late_orders: 0.1,
         very_late_orders: 0.2,
@@ -88,6 +91,10 @@
         ..Mix::LATE_ORDERS
     };
 
+    /// As [`Mix::ALL`], with jobs that outlast dispatchers and list entries, and several takeovers.
+    pub const LONG_JOBS: Mix =
+        Mix { long_jobs: 0.5, replacements: 2.0, crashes: 0.3, jobs: 16, ..Mix::ALL };
+
     /// As [`Mix::LATE_ORDERS`], with targets that crash and start again under the same name.
     pub const CRASHES: Mix = Mix { crashes: 1.5, cuts: 2.0, ..Mix::LATE_ORDERS };
 
--- a/tests/late_orders/world.rs
+++ b/tests/late_orders/world.rs
@@ -196,7 +196,7 @@
             }
         }
         for id in 0..mix.jobs {
-            let job = Job::random(id, mix.zones, &mut self.rng);
+            let job = Job::random(id, self.mix, &mut self.rng);
             self.jobs.push(job);
             let at = at(&mut self.rng);
             self.push(at, Event::Submit(id as usize));
