--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,6 @@
 """Workers drain while a dispatcher hands its zone over to a stronger machine that was added.
 
-A machine with four times the processor share is added, and the dispatcher hands the zone over: it
+A machine with three times the processor share is added, and the dispatcher hands the zone over: it
 finishes its own jobs. Then workers drain. DRAIN asks that a machine in touch starts no task later
 than `drainMs` after that was accepted. With TROUBLE=0 no machine is added.
 """
@@ -25,7 +25,7 @@
     for _ in range(14):
         await site.add_worker("zone-a")
     for _ in range(2):
-        site.add_vm("zone-a", 0.25)
+        site.add_vm("zone-a", 0.2)
 
     def check(worker, run, job, step):
         if worker.draining_since is None:
@@ -52,7 +52,7 @@
         jobs.append(site.spawn(site.submit(vm, job)))
     await asyncio.sleep(1)
     if trouble:
-        site.add_vm("zone-a", 1.0)
+        site.add_vm("zone-a", 0.62)
     await asyncio.sleep(3)
     # At most two of the fourteen workers drain, those that have runs first.
     by_runs = sorted(site.workers, key=lambda worker: -len(worker.running))
