Judge restarted targets by their own list entry

What callers saw: a target crashed and was back under its name as another kind of machine.

Cause: Target::info is the entry in the store's list. A report of a new incarnation overwrote only info.incarnation, and the labels, pool, resources and drain of the former one then passed for those of the present. When the entry arrived, its incarnation was already known, so it was taken for another entry of the same incarnation, in which a drain is never taken back.

Change: Target::incarnation is the present incarnation, Target::info stays as the target wrote it. accepts_tasks() asks that both agree; placement, admission and the two forecasts use it in place of the drain alone. The fake targets of the tests now write an entry after a restart, as real ones do; without that they could not be used again in any test.

Before: three of the four tests in tests/dispatch/restarts.rs fail on (starts on the target by former labels, none after a drain, starts by a new dispatcher); the fourth, a restart that changes nothing, passes.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -306,8 +306,8 @@
     /// Whether a target could run tasks of a step if it were idle.
     pub(super) fn has_target_for(&self, step: &Step, queue: &Queue) -> bool {
         self.targets.values().any(|target| {
-            target.info.pool == queue.pool
-                && !target.info.draining
+            target.accepts_tasks()
+                && target.info.pool == queue.pool
                 && !self.is_evacuated(target)
                 && step.needs.fits_in(target.info.capacity)
                 && step.required.as_ref().is_none_or(|label| target.info.has_label(label))
--- a/src/coordination/dispatch/forecast.rs
+++ b/src/coordination/dispatch/forecast.rs
@@ -84,7 +84,7 @@
         let being_taken_over = |t: &&Target| {
             !t.taken_over
                 && t.unresponsive_since.is_none()
-                && !t.info.draining
+                && t.accepts_tasks()
                 && !self.is_evacuated(t)
         };
         for target in self.targets.values().filter(being_taken_over) {
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -106,15 +106,14 @@
             self.actions.push(Action::Watch(info.id.clone()));
             return;
         };
-        if info.incarnation < target.info.incarnation
+        if info.incarnation < target.incarnation
             || target.former_incarnation == Some(info.incarnation)
         {
             return;
         }
         target.cold.update(info, now);
-        let is_new = info.incarnation > target.info.incarnation;
-        let draining = info.draining || target.info.draining && !is_new;
-        target.info = TargetInfo { draining, incarnation: target.info.incarnation, ..info.clone() };
+        let was_draining = target.info.draining && target.info.incarnation == info.incarnation;
+        target.info = TargetInfo { draining: info.draining || was_draining, ..info.clone() };
         self.update_incarnation(&info.id, info.incarnation, now);
     }
 
@@ -189,7 +188,7 @@
         current
             && target.listed
             && target.taken_over
-            && !target.info.draining
+            && target.accepts_tasks()
             && target.unresponsive_since.is_none()
             && target.clock.is_some()
             && target.outlier.ejected_until <= now
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -272,7 +272,7 @@
             number,
             job: Some(key.0),
             needs: step.needs,
-            incarnation: target.info.incarnation,
+            incarnation: target.incarnation,
             state: RunState::Starting,
             first_sent_at: now,
             start_sent_at: now,
--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -130,7 +130,7 @@
         let Some(target) = self.targets.get_mut(id) else { return };
         let Some(run) = target.runs.get(&task).filter(|r| r.number == number) else { return };
         let (incarnation, start_sent_at) = (run.incarnation, run.start_sent_at);
-        let is_of_incarnation = incarnation == target.info.incarnation;
+        let is_of_incarnation = incarnation == target.incarnation;
         if let StartReply::Started(clock) | StartReply::Refused(_, Some(clock)) = reply
             && is_of_incarnation
         {
@@ -322,7 +322,7 @@
         target.last_report_at = now;
         target.accepted_token = true;
         target.missed_answers = 0;
-        let incarnation = target.info.incarnation;
+        let incarnation = target.incarnation;
         if target.unresponsive_since.take().is_some() {
             self.log(LogEvent::TargetStateChanged {
                 target: id.clone(),
@@ -370,7 +370,7 @@
         let (mut vanished, mut lost_in_restart, mut stopped) = (Vec::new(), Vec::new(), Vec::new());
         let missing = target.runs.iter().filter(|(task, run)| !is_reported(task, run.number));
         for (task, run) in missing {
-            let is_restarted = run.incarnation != target.info.incarnation;
+            let is_restarted = run.incarnation != target.incarnation;
             match run.state {
                 RunState::Running { since } if since < sent && is_restarted => {
                     lost_in_restart.push((*task, run.number));
@@ -481,8 +481,8 @@
         now: Moment,
     ) {
         let Some(target) = self.targets.get(id) else { return };
-        if incarnation.is_some_and(|incarnation| incarnation != target.info.incarnation) {
-            let is_former = |run: &Run| run.incarnation != target.info.incarnation;
+        if incarnation.is_some_and(|incarnation| incarnation != target.incarnation) {
+            let is_former = |run: &Run| run.incarnation != target.incarnation;
             let former = target.runs.iter().filter(|(_, run)| is_former(run));
             let former: Vec<_> = former.map(|(task, run)| (*task, run.number)).collect();
             return self.close_lost_runs(id, &former, LossCause::Replaced, now);
--- a/src/coordination/dispatch/restarts.rs
+++ b/src/coordination/dispatch/restarts.rs
@@ -29,7 +29,7 @@
     }
     // The leases don't bound a start that another incarnation may execute.
     let is_bounded = |run: &Run| {
-        run.incarnation == target.info.incarnation
+        run.incarnation == target.incarnation
             || !run.has_unanswered_start
             || target.latest_lease_end() + MAX_ORDER_DELAY < now
     };
@@ -43,7 +43,7 @@
     /// whoever answers a request that was sent after the present incarnation was known came after it.
     pub(super) fn is_former(&self, incarnation: TargetIncarnation, sent: Moment) -> bool {
         let is_replaced =
-            incarnation < self.info.incarnation || self.former_incarnation == Some(incarnation);
+            incarnation < self.incarnation || self.former_incarnation == Some(incarnation);
         is_replaced && sent <= self.incarnation_known_at
     }
 
@@ -53,7 +53,7 @@
         let start = UnansweredStart { run: run.number, incarnation, closed_at };
         let known = self.unanswered_starts.entry(task).or_insert(start);
         known.run = known.run.max(run.number);
-        if incarnation != self.info.incarnation {
+        if incarnation != self.incarnation {
             known.incarnation = incarnation;
         }
         known.closed_at = closed_at;
@@ -71,12 +71,12 @@
         now: Moment,
     ) {
         let Some(target) = self.targets.get_mut(id) else { return };
-        if incarnation == target.info.incarnation {
+        if incarnation == target.incarnation {
             return;
         }
         target.incarnation_known_at = now;
-        target.former_incarnation = Some(target.info.incarnation);
-        let earlier = std::mem::replace(&mut target.info.incarnation, incarnation);
+        target.former_incarnation = Some(target.incarnation);
+        let earlier = std::mem::replace(&mut target.incarnation, incarnation);
         target.clock = None;
         target.last_end_sequence = 0;
         self.log_restart(id, earlier);
@@ -88,7 +88,7 @@
         let Some(target) = self.targets.get(id) else { return };
         let is_due = |(task, start): &(&TaskId, &UnansweredStart)| {
             let running = target.runs.get(*task);
-            start.incarnation != target.info.incarnation
+            start.incarnation != target.incarnation
                 && running.is_none_or(|run| run.number > start.run)
         };
         let due = target.unanswered_starts.iter().filter(is_due);
@@ -114,7 +114,7 @@
     /// Forgets the start requests of a task that a confirmed stop has voided.
     pub(super) fn on_start_voided(&mut self, id: &TargetId, task: TaskId, number: RunNumber) {
         let Some(target) = self.targets.get_mut(id) else { return };
-        let incarnation = target.info.incarnation;
+        let incarnation = target.incarnation;
         let is_voided =
             |start: &UnansweredStart| start.run <= number && start.incarnation != incarnation;
         if target.unanswered_starts.get(&task).is_some_and(is_voided) {
--- a/src/coordination/dispatch/run_log.rs
+++ b/src/coordination/dispatch/run_log.rs
@@ -83,7 +83,7 @@
         RunHistory {
             token,
             incarnation: run.incarnation,
-            current_incarnation: target.info.incarnation,
+            current_incarnation: target.incarnation,
             first_sent: now - run.first_sent_at,
             last_sent: now - run.start_sent_at,
             starts: run.start_attempts,
@@ -298,7 +298,7 @@
             state,
             clock,
             token: self.fencing_token,
-            incarnation: target.info.incarnation,
+            incarnation: target.incarnation,
             owned: now - target.taken_over_at,
             lease_left_ms: signed_millis(target.latest_lease_end(), now),
             clock_lead_ms: target.clock_lead_ms,
@@ -319,7 +319,7 @@
         };
         let event = LogEvent::Restarted {
             target: id.clone(),
-            incarnation: target.info.incarnation,
+            incarnation: target.incarnation,
             earlier,
             runs: target.runs.len(),
             unanswered: target.runs.values().filter(has_unanswered).count(),
--- a/src/coordination/dispatch/size_forecast.rs
+++ b/src/coordination/dispatch/size_forecast.rs
@@ -140,7 +140,7 @@
         }
         let is_being_taken_over = !target.taken_over
             && target.unresponsive_since.is_none()
-            && !target.info.draining
+            && target.accepts_tasks()
             && !self.is_evacuated(target);
         let occupied = vec![occupancy(now + TAKEOVER_DURATION, millicores)];
         is_being_taken_over.then_some(TargetForecast { slowness: 1.0, millicores, occupied })
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -279,9 +279,12 @@
 /// A target that this dispatcher owns or is taking over from an earlier one.
 #[derive(Clone, Debug)]
 pub struct Target {
-    /// Description of the target in the platform's list.
+    /// Description of the target in the platform's list. After a restart it is that of the former
+    /// incarnation until the list has an entry of the present one, see [`Target::is_described`].
     pub info: TargetInfo,
-    /// Time at which the incarnation in `info` became known.
+    /// Present incarnation, as the target's reports or its list entry tell, whichever comes first.
+    pub incarnation: TargetIncarnation,
+    /// Time at which the present incarnation became known.
     pub incarnation_known_at: Moment,
     /// Incarnation that the present one replaced.
     pub former_incarnation: Option<TargetIncarnation>,
@@ -341,6 +344,7 @@
         let mut cold = ColdPeriod::default();
         cold.update(&info, now);
         Target {
+            incarnation: info.incarnation,
             info,
             incarnation_known_at: now,
             former_incarnation: None,
@@ -369,6 +373,18 @@
         }
     }
 
+    /// Whether `info` describes the present incarnation. A target may come back under its name as
+    /// another kind of machine, with other labels and resources, or in another pool.
+    pub fn is_described(&self) -> bool {
+        self.info.incarnation == self.incarnation
+    }
+
+    /// Whether new tasks may be considered for the target: what it offers is known, and it is not
+    /// shutting down.
+    pub fn accepts_tasks(&self) -> bool {
+        self.is_described() && !self.info.draining
+    }
+
     /// Records a reading of the target's clock in the answer to a request that was sent at `sent`. Of
     /// two readings the one that gives the later lower bound is kept, unless the new one shows that the
     /// other gives none, as the clock stood still.
--- a/tests/dispatch/fake_target.rs
+++ b/tests/dispatch/fake_target.rs
@@ -84,7 +84,9 @@
     pub crash_count: u32,
     /// Moment at which the crashed target is back; connections to it fail until then.
     pub down_until: Moment,
-    incarnation: TargetIncarnation,
+    pub incarnation: TargetIncarnation,
+    /// Moment from which the list has an entry of this incarnation.
+    pub registers_at: Moment,
     /// Time at which the target's clock shows zero.
     clock_start: Moment,
     /// How much slower than usual the target's clock runs, in percent.
@@ -117,6 +119,7 @@
             crash_count: 0,
             down_until: Moment::ZERO,
             incarnation: TargetIncarnation(1),
+            registers_at: Moment::ZERO,
             clock_start: Moment::ZERO,
             clock_slowness: 0,
             voided: IndexMap::new(),
@@ -124,6 +127,8 @@
     }
 }
 
+/// Time from the moment at which a restarted target serves to its first list entry.
+const REGISTRATION_DELAY: Duration = Duration::from_millis(300);
 /// Time for which a crashed target is down.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(3_300);
 
@@ -138,6 +143,7 @@
         *self = FakeTarget {
             speed: self.speed,
             incarnation: TargetIncarnation(self.incarnation.0 + 1),
+            registers_at: now + REGISTRATION_DELAY,
             clock_start: now,
             is_watched: self.is_watched,
             next_renewal: self.next_renewal,
@@ -168,6 +174,7 @@
         self.restart(now);
         self.crash_count += 1;
         self.down_until = now + CRASH_DOWNTIME;
+        self.registers_at = self.down_until + REGISTRATION_DELAY;
     }
 
     /// Whether no connection to the target can be made.
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -15,6 +15,7 @@
 mod near_equal_targets;
 mod overload;
 mod ownership;
+mod restarts;
 mod run_log;
 mod runs;
 mod simulation;
--- /dev/null
+++ b/tests/dispatch/restarts.rs
@@ -0,0 +1,121 @@
+//! Targets that come back under their name as something else: with other labels, resources or another
+//! pool, or after a drain.
+
+use crate::simulation::{Simulation, URGENT, ms, submission};
+use cranberrytray::state::{
+    fleet_config::{Label, PoolName},
+    job_submission::JobSubmission,
+    resources::MilliCores,
+    target::{TargetIncarnation, TargetInfo},
+};
+use std::time::Duration;
+
+/// A job of one task that targets of kind `a` can run.
+fn job_for_kind_a(id: u64) -> JobSubmission {
+    let mut job = submission(id, URGENT, 1, ms(60));
+    job.steps[0].required = Some(Label::from("a"));
+    job
+}
+
+/// Submits enough jobs for all targets to get some. Their ids are those from `first` on.
+fn submit_jobs_for(sim: &mut Simulation, first: u64, duration: Duration) {
+    for n in 0..duration.as_millis() as u64 / 10 {
+        sim.submit(job_for_kind_a(first + n));
+        sim.run(ms(10));
+    }
+}
+
+/// Restarts target 0 and lets the dispatcher learn of it from a report.
+fn restart_and_report(sim: &mut Simulation) {
+    let now = sim.now;
+    let target = sim.target(0);
+    target.restart(now);
+    target.next_renewal = now;
+    sim.run(ms(2));
+    sim.target(0).starts.clear();
+}
+
+/// Publishes an entry of the second incarnation of target 0, with further changes.
+fn publish_second_entry(sim: &mut Simulation, change: fn(&mut TargetInfo)) {
+    sim.change_target(0, |info| {
+        info.incarnation = TargetIncarnation(2);
+        change(info);
+    });
+}
+
+/// Guards against starts on a target that has come back without the required label, in another pool, too
+/// small or already draining, which were decided by the list entry of its former incarnation.
+#[test]
+fn restarted_target_is_judged_by_its_own_entry() {
+    let changes: [(&str, fn(&mut TargetInfo)); 4] = [
+        ("labels", |info| info.labels[0] = Label::from("b")),
+        ("pool", |info| info.pool = PoolName::from("other")),
+        ("capacity", |info| info.capacity.cpu = MilliCores(7_000)),
+        ("draining", |info| info.draining = true),
+    ];
+    for (fact, change) in changes {
+        let mut sim = Simulation::new(2).take_over();
+        restart_and_report(&mut sim);
+        submit_jobs_for(&mut sim, 1_000, ms(200));
+        assert_eq!(sim.target(0).starts, [], "{fact}: the report comes first");
+        publish_second_entry(&mut sim, change);
+        submit_jobs_for(&mut sim, 2_000, ms(200));
+        assert_eq!(sim.target(0).starts, [], "{fact}: the entry has arrived");
+        assert_ne!(sim.target(1).starts, [], "{fact}: the other target is used");
+
+        let mut sim = Simulation::new(2).take_over();
+        let now = sim.now;
+        sim.target(0).restart(now);
+        publish_second_entry(&mut sim, change);
+        submit_jobs_for(&mut sim, 1_000, ms(500));
+        assert_eq!(sim.target(0).starts, [], "{fact}: the entry comes first");
+    }
+}
+
+/// Guards against a target that is lost for good: it drained, came back under its name and reported
+/// before its list entry was read, and the drain of its former incarnation was taken for its own.
+#[test]
+fn restarted_target_is_used_again_after_a_drain() {
+    for report_first in [true, false] {
+        let mut sim = Simulation::new(2).take_over();
+        sim.change_target(0, |info| info.draining = true);
+        sim.run(ms(500));
+        if report_first {
+            restart_and_report(&mut sim);
+        } else {
+            let now = sim.now;
+            sim.target(0).restart(now);
+        }
+        publish_second_entry(&mut sim, |info| info.draining = false);
+        sim.run(ms(400));
+        submit_jobs_for(&mut sim, 1_000, ms(200));
+        assert_ne!(sim.target(0).starts, [], "report first: {report_first}");
+    }
+}
+
+/// Guards against a target that is lost for good after a restart that leaves its entry as it was.
+#[test]
+fn restarted_target_is_used_once_its_entry_is_read() {
+    let mut sim = Simulation::new(2).take_over();
+    restart_and_report(&mut sim);
+    publish_second_entry(&mut sim, |_| {});
+    submit_jobs_for(&mut sim, 1_000, ms(200));
+    assert_ne!(sim.target(0).starts, []);
+}
+
+/// Guards against a new dispatcher that takes the entry of a former incarnation for the present one.
+#[test]
+fn new_dispatcher_awaits_the_entry_of_a_restarted_target() {
+    let mut sim = Simulation::new(2).take_over();
+    let now = sim.now;
+    sim.target(0).restart(now);
+    sim.target(0).registers_at = now + ms(5_000);
+    sim.replace_dispatcher();
+    sim.run(ms(100));
+    sim.target(0).starts.clear();
+    submit_jobs_for(&mut sim, 1_000, ms(200));
+    assert_eq!(sim.target(0).starts, []);
+    publish_second_entry(&mut sim, |_| {});
+    submit_jobs_for(&mut sim, 2_000, ms(200));
+    assert_ne!(sim.target(0).starts, []);
+}
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -262,6 +262,7 @@
         while self.now < end {
             self.now = self.now + ms(1);
             self.execute_late_starts();
+            self.register_restarted_targets();
             self.advance_targets();
             if !self.manual_ticks && self.now.since_start().as_millis().is_multiple_of(25) {
                 self.tick();
@@ -275,6 +276,21 @@
         self.process_actions();
     }
 
+    /// Updates the entries of restarted targets that the list still has in a former incarnation.
+    fn register_restarted_targets(&mut self) {
+        let mut changed = false;
+        for info in &mut self.list {
+            let target = &self.targets[&info.id];
+            if target.incarnation != info.incarnation && target.registers_at <= self.now {
+                info.incarnation = target.incarnation;
+                changed = true;
+            }
+        }
+        if changed {
+            self.publish_targets();
+        }
+    }
+
     fn advance_targets(&mut self) {
         let ids: Vec<TargetId> = self.targets.keys().cloned().collect();
         for id in ids {
