Follow the list of targets while a zone is handed over

Cause: Node::is_dispatcher is false once a successor has accepted the zone. The list of targets was then read at the interval of a standby, and no list was passed to the core at all, so that it decided by that of the moment at which the handover began.

Ruled out: starts under way when the drain was known, and starts of the successor.

Change: Node::starts_tasks is true as long as this VM has a dispatcher's core. The reads of the list and its way to the core depend on it. Configuration and evacuated zones were passed on before.

Its callers get 504 as soon as the drain is known, since the successor has the other targets.

--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -233,9 +233,10 @@
         }
     }
 
-    /// Passes the current list of the shard's targets to the core.
+    /// Passes the current list of the shard's targets to the core, also while this VM hands its shard
+    /// over: its open jobs go on, and targets may begin to drain.
     pub(super) fn update_targets(self: &Rc<Self>) {
-        if !self.is_dispatcher() {
+        if !self.starts_tasks() {
             return;
         }
         let list = self.shard_targets();
--- a/src/fleet/shards.rs
+++ b/src/fleet/shards.rs
@@ -237,10 +237,10 @@
         peers.into_iter().enumerate().filter(|(n, _)| is_candidate(*n)).map(|(_, p)| p).collect()
     }
 
-    /// Whether this VM keeps the list of targets up to date: it is a dispatcher, or one of the VMs
+    /// Whether this VM keeps the list of targets up to date: it may start tasks, or is one of the VMs
     /// that would be elected next for its shard.
     pub fn follows_targets(&self) -> bool {
-        if self.is_dispatcher() || !self.enables(Mechanism::Standbys) {
+        if self.starts_tasks() || !self.enables(Mechanism::Standbys) {
             return true;
         }
         let others = self.shard_peers(self.shard_index());
