Ignore rejections by targets that were handed over

What callers saw: 504 for the open jobs of a dispatcher that hands its zone over to a stronger VM, some 150 ms after the handover began, though all targets and VMs were well.

Cause: a renewal that waited on a released target was rejected once the successor had taken the target over. The core didn't have the target any more and reported that it had never accepted the token; the predecessor stepped down, or raised its token above the successor's if it was younger than 2 s.

Change: on_fenced returns if the core doesn't have the target, as the handlers of other replies do.

--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -215,9 +215,12 @@
         self.actions.push(Action::Start { request, spec, lease_end: lease.end });
     }
 
+    /// Handles a rejected fencing token. A target that was handed over may still answer a request which
+    /// was sent before, after the successor's: that says nothing of the others.
     fn on_fenced(&mut self, id: &TargetId) {
+        let Some(target) = self.targets.get(id) else { return };
+        let was_accepted = target.accepted_token;
         self.counts.fenced_requests += 1;
-        let was_accepted = self.targets.get(id).is_some_and(|target| target.accepted_token);
         self.actions.push(Action::Fenced { target: id.clone(), was_accepted });
     }
 
--- a/tests/dispatch/ownership.rs
+++ b/tests/dispatch/ownership.rs
@@ -1,9 +1,12 @@
 //! Ownership of targets: takeover, lease renewal, unresponsive and ejected targets.
 
 use crate::simulation::{Fault, LONG, Simulation, URGENT, ms, submission, target_info};
-use cranberrytray::state::{
-    job_submission::{CallerJobId, Outcome, TaskId},
-    target::{FencingToken, TargetId, TargetIncarnation, TargetReport},
+use cranberrytray::{
+    coordination::dispatch::replies::LeaseRenewalError,
+    state::{
+        job_submission::{CallerJobId, Outcome, TaskId},
+        target::{FencingToken, TargetId, TargetIncarnation, TargetReport},
+    },
 };
 
 fn task(job: u64) -> TaskId {
@@ -287,3 +290,16 @@
     sim.run(ms(400));
     assert!(sim.fenced.contains(&(TargetId::from("t1"), true)), "{:?}", sim.fenced);
 }
+
+/// Guards against a dispatcher that steps down in the middle of a handover: a target that its successor has
+/// taken over rejects a request that was sent before.
+#[test]
+fn fenced_answer_of_a_target_handed_over_is_ignored() {
+    let mut sim = Simulation::new(2).take_over();
+    sim.dispatcher.begin_handover();
+    sim.dispatcher.retain_targets(&[target_info(1).id]);
+    let (sent, reply) = (sim.now, Err(LeaseRenewalError::Fenced));
+    sim.dispatcher.on_lease_renewal_reply(&target_info(0).id, sent, reply, sim.now);
+    sim.process_actions();
+    assert_eq!(sim.fenced, []);
+}
