Send an unanswered start again only to the same incarnation

What callers saw: nothing so far; found by going over the paths of starts on restarted targets. A start without an answer is sent again once. If the target had been restarted in between, the second request started the task on the present incarnation by the labels, pool and resources of the former; if it had begun to drain, on a draining target.

Evidence: unanswered_start_is_sent_again_only_to_the_same_target fails before, for a report of a restart.

After: the test passes for a restart told by report or entry, for a drain, and without a change.

--- a/src/coordination/dispatch/evacuation.rs
+++ b/src/coordination/dispatch/evacuation.rs
@@ -9,7 +9,7 @@
         job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, Step, TaskId},
         resources::MilliCores,
         shard::Shard,
-        target::{Target, TargetId, TargetInfo},
+        target::{Target, TargetInfo},
         time::Moment,
     },
 };
@@ -147,15 +147,6 @@
         evacuated.is_none_or(|zone| zone.permits_start(job, now))
     }
 
-    /// Whether an unanswered start of a task may be sent again to a target, as far as evacuations are
-    /// concerned. The first request may be lost, so that the second one starts the run.
-    pub(super) fn permits_repeated_start(&self, id: &TargetId, task: TaskId, now: Moment) -> bool {
-        let Some(target) = self.targets.get(id) else { return false };
-        let key = target.runs.get(&task).and_then(|run| run.job);
-        let job = key.and_then(|key| self.jobs.get(&SubmissionKey(key)));
-        job.is_some_and(|job| self.permits_start(job, target, now))
-    }
-
     /// Whether a begun job may still start tasks in an evacuated zone of this dispatcher.
     pub(super) fn finishes_in_evacuated_zone(&self, job: &Job, now: Moment) -> bool {
         self.own_evacuated_zones().any(|zone| zone.permits_start(job, now))
--- a/tests/dispatch/restarts.rs
+++ b/tests/dispatch/restarts.rs
@@ -2,11 +2,14 @@
 //! pool, or after a drain.
 
 use crate::simulation::{Simulation, URGENT, ms, submission};
-use cranberrytray::state::{
-    fleet_config::{Label, PoolName},
-    job_submission::JobSubmission,
-    resources::MilliCores,
-    target::{TargetIncarnation, TargetInfo},
+use cranberrytray::{
+    coordination::dispatch::{Action, replies::StartReply},
+    state::{
+        fleet_config::{Label, PoolName},
+        job_submission::JobSubmission,
+        resources::MilliCores,
+        target::{TargetIncarnation, TargetInfo},
+    },
 };
 use std::time::Duration;
 
@@ -103,6 +106,45 @@
     assert_ne!(sim.target(0).starts, []);
 }
 
+/// Guards against starts on a restarted or draining target: a start that was not answered was sent again
+/// there, without a look at what had become of the target since.
+#[test]
+fn unanswered_start_is_sent_again_only_to_the_same_target() {
+    let changes: [(&str, fn(&mut Simulation)); 4] = [
+        ("none", |_| {}),
+        ("report of a restart", restart_and_report),
+        ("entry of a restart", |sim| {
+            let now = sim.now;
+            sim.target(0).restart(now);
+            publish_second_entry(sim, |info| info.labels[0] = Label::from("b"));
+            sim.target(0).next_renewal = now;
+            sim.run(ms(2));
+        }),
+        ("drain", |sim| sim.change_target(0, |info| info.draining = true)),
+    ];
+    for (change, apply) in changes {
+        let mut sim = Simulation::new(1).take_over();
+        sim.dispatcher.submit(job_for_kind_a(1), false, false, sim.now);
+        let actions = sim.dispatcher.take_actions();
+        let request = actions.iter().find_map(|action| match action {
+            Action::Start { request, .. } => Some(request.clone()),
+            _ => None,
+        });
+        let request = request.expect("the task is started");
+        apply(&mut sim);
+        sim.dispatcher.on_start_reply(
+            &request.target,
+            request.task,
+            request.run,
+            StartReply::Unknown,
+            sim.now,
+        );
+        let actions = sim.dispatcher.take_actions();
+        let is_sent_again = actions.iter().any(|action| matches!(action, Action::Start { .. }));
+        assert_eq!(is_sent_again, change == "none", "change: {change}");
+    }
+}
+
 /// Guards against a new dispatcher that takes the entry of a former incarnation for the present one.
 #[test]
 fn new_dispatcher_awaits_the_entry_of_a_restarted_target() {
