Count no crash where a drained target has been restarted

What callers saw: nothing so far; found by going over the places that take a fact of one incarnation for another. A target that leaves ends its runs without a crash. If its next entry was read before its next report, the drain was forgotten with the former entry: the runs counted as crashes, their tasks as suspects, and a job was answered as failed after the second one.

Evidence: restart_after_a_drain_is_no_crash fails before, with the entry first.

Change: Target::draining_incarnation is kept beside the entry, and each lost run is judged by the incarnation that it was started on. It also replaces the drain that was carried over from entry to entry.

After: the test passes, with the entry and with the report first.

--- a/src/coordination/dispatch/crashes.rs
+++ b/src/coordination/dispatch/crashes.rs
@@ -60,11 +60,12 @@
         now: Moment,
     ) {
         let Some(target) = self.targets.get(id) else { return };
-        // A target that is leaving ends its runs without a crash.
-        if target.info.draining || !self.enables(Mechanism::CrashHistory) {
+        if !self.enables(Mechanism::CrashHistory) {
             return;
         }
         let lost = target.runs.iter().filter(|(task, run)| runs.contains(&(**task, run.number)));
+        // A target that is leaving ends its runs without a crash.
+        let lost = lost.filter(|(_, run)| !target.was_draining(run.incarnation));
         let lost: Vec<_> =
             lost.map(|(task, run)| (*task, run.incarnation, run.start_sent_at)).collect();
         let last_started = lost.iter().max_by_key(|(.., sent_at)| *sent_at);
--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -112,8 +112,10 @@
             return;
         }
         target.cold.update(info, now);
-        let was_draining = target.info.draining && target.info.incarnation == info.incarnation;
-        target.info = TargetInfo { draining: info.draining || was_draining, ..info.clone() };
+        if info.draining {
+            target.draining_incarnation = Some(info.incarnation);
+        }
+        target.info = info.clone();
         self.update_incarnation(&info.id, info.incarnation, now);
     }
 
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -288,6 +288,8 @@
     pub incarnation_known_at: Moment,
     /// Incarnation that the present one replaced.
     pub former_incarnation: Option<TargetIncarnation>,
+    /// Last incarnation of which an entry said that it is shutting down.
+    pub draining_incarnation: Option<TargetIncarnation>,
     /// Whether the takeover is complete: no run of an earlier dispatcher is left on the target.
     pub taken_over: bool,
     /// Time at which the takeover was completed.
@@ -345,6 +347,7 @@
         cold.update(&info, now);
         Target {
             incarnation: info.incarnation,
+            draining_incarnation: info.draining.then_some(info.incarnation),
             info,
             incarnation_known_at: now,
             former_incarnation: None,
@@ -382,7 +385,12 @@
     /// Whether new tasks may be considered for the target: what it offers is known, and it is not
     /// shutting down.
     pub fn accepts_tasks(&self) -> bool {
-        self.is_described() && !self.info.draining
+        self.is_described() && !self.was_draining(self.incarnation)
+    }
+
+    /// Whether an incarnation of the target is or was shutting down, as its entries said.
+    pub fn was_draining(&self, incarnation: TargetIncarnation) -> bool {
+        self.draining_incarnation == Some(incarnation)
     }
 
     /// Records a reading of the target's clock in the answer to a request that was sent at `sent`. Of
--- a/tests/dispatch/restarts.rs
+++ b/tests/dispatch/restarts.rs
@@ -145,6 +145,28 @@
     }
 }
 
+/// Guards against jobs that are given up as if they crashed their targets: the drain of the former
+/// incarnation was forgotten with its entry, so that the runs which it ended counted as crashes.
+#[test]
+fn restart_after_a_drain_is_no_crash() {
+    for report_first in [true, false] {
+        let mut sim = Simulation::new(1).take_over();
+        sim.submit(submission(1, URGENT, 1, ms(800)));
+        sim.run(ms(50));
+        assert_eq!(sim.target(0).running(), 1);
+        sim.change_target(0, |info| info.draining = true);
+        let now = sim.now;
+        sim.target(0).restart(now);
+        if !report_first {
+            publish_second_entry(&mut sim, |info| info.draining = false);
+        }
+        sim.target(0).next_renewal = now;
+        sim.run(ms(2));
+        assert_eq!(sim.dispatcher.counts().lost_runs, 1);
+        assert!(sim.dispatcher.crash_history().is_empty(), "report first: {report_first}");
+    }
+}
+
 /// Guards against a new dispatcher that takes the entry of a former incarnation for the present one.
 #[test]
 fn new_dispatcher_awaits_the_entry_of_a_restarted_target() {
