Forget the speed of a target that comes back as another kind

What callers saw: nothing so far; found by going over the places that take a fact of one incarnation for another. How slow a target is, is learned relative to its kind. A target that came back as another kind kept that factor, so that it got no long tasks for dozens of runs, or too long ones. Runs whose start was sent to a former incarnation taught the speed of the kind in the entry.

Evidence: restarted_target_of_another_kind_is_not_known_as_slow fails before: a job of 0.9 s is refused as too late on a target of usual speed.

Change: the factor is forgotten with the kind that it relates to, and a run teaches only if the entry describes the incarnation that it was started on.

--- a/src/coordination/dispatch/ownership.rs
+++ b/src/coordination/dispatch/ownership.rs
@@ -115,6 +115,9 @@
         if info.draining {
             target.draining_incarnation = Some(info.incarnation);
         }
+        if target.info.kind != info.kind {
+            target.forget_slowness();
+        }
         target.info = info.clone();
         self.update_incarnation(&info.id, info.incarnation, now);
     }
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -334,6 +334,9 @@
         let Some(job) = self.jobs.get(&key) else { return false };
         let Some(step) = job.step(task) else { return false };
         let Some(target) = self.targets.get(target_id) else { return false };
+        if !target.describes(run) {
+            return false;
+        }
         let queue = &job.submission.queue;
         let declared = self.declared_ms(step.declared);
         let slowness =
@@ -384,7 +387,8 @@
         if self.was_cold(target_id, run, now) {
             return;
         }
-        let Some(kind) = self.targets.get(target_id).map(|t| t.info.kind.clone()) else { return };
+        let Some(target) = self.targets.get(target_id).filter(|t| t.describes(run)) else { return };
+        let kind = target.info.kind.clone();
         let took = (now - run.start_sent_at).as_secs_f64();
         let declared = self.declared_ms(declared);
         let expected = self.run_times.expected_seconds(queue, declared) * self.kind_slowness(&kind);
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -393,6 +393,18 @@
         self.draining_incarnation == Some(incarnation)
     }
 
+    /// Whether `info` describes the incarnation that a run was started on, so that the run shows how fast
+    /// targets of this kind are.
+    pub fn describes(&self, run: &Run) -> bool {
+        self.is_described() && run.incarnation == self.incarnation
+    }
+
+    /// Forgets what was learned of the target's speed, which is relative to its kind.
+    pub fn forget_slowness(&mut self) {
+        self.slowness = 1.0;
+        self.observed_runs = 0;
+    }
+
     /// Records a reading of the target's clock in the answer to a request that was sent at `sent`. Of
     /// two readings the one that gives the later lower bound is kept, unless the new one shows that the
     /// other gives none, as the clock stood still.
--- a/tests/dispatch/restarts.rs
+++ b/tests/dispatch/restarts.rs
@@ -6,7 +6,7 @@
     coordination::dispatch::{Action, replies::StartReply},
     state::{
         fleet_config::{Label, PoolName},
-        job_submission::JobSubmission,
+        job_submission::{JobSubmission, Outcome},
         resources::MilliCores,
         target::{TargetIncarnation, TargetInfo},
     },
@@ -167,6 +167,35 @@
     }
 }
 
+/// Guards against a target that gets no long tasks after its restart as another kind, since its former
+/// incarnation was slow for its own.
+#[test]
+fn restarted_target_of_another_kind_is_not_known_as_slow() {
+    for report_first in [true, false] {
+        let mut sim = Simulation::with_speeds(&[0.4, 1.0]);
+        sim.change_target(1, |info| info.draining = true);
+        let job = || submission(1, URGENT, 1, ms(900));
+        let refused = sim.submit(job());
+        sim.run(ms(20));
+        assert!(sim.outcome(refused).is_some(), "it ends too late on a slow target");
+        if report_first {
+            restart_and_report(&mut sim);
+        } else {
+            let now = sim.now;
+            sim.target(0).restart(now);
+        }
+        sim.target(0).speed = 1.0;
+        publish_second_entry(&mut sim, |info| {
+            info.kind = Label::from("b");
+            info.labels[0] = Label::from("b");
+        });
+        sim.run(ms(400));
+        let key = sim.submit(job());
+        sim.run(ms(1_000));
+        assert_eq!(sim.outcome(key), Some(Outcome::Completed), "report first: {report_first}");
+    }
+}
+
 /// Guards against a new dispatcher that takes the entry of a former incarnation for the present one.
 #[test]
 fn new_dispatcher_awaits_the_entry_of_a_restarted_target() {
