Await stopped runs when a restarted target is taken over

What callers saw: nothing so far; found by going over the places that take a fact of one incarnation for another. A new dispatcher that stops the runs of an earlier one waits until they have ended, unless the target refuses what doesn't fit. It judged that by the pool in the entry of a former incarnation; a target that had come back in a pool without that guard got more tasks than it has room for (LIMIT) for the length of a stop.

Evidence: takeover_of_a_restarted_target_awaits_stopped_runs fails before with 2 such starts.

Change: the wait is left out only if the entry describes the present incarnation.

After: the test passes.

--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -413,8 +413,9 @@
             return;
         }
         // Runs that are being stopped are not reported, but occupy the target until they end. Where
-        // it refuses tasks that don't fit, that needs no wait.
-        if !self.config.rejects_when_full(&target.info.pool) {
+        // it refuses tasks that don't fit, that needs no wait; a restarted target may be in another pool.
+        let refuses = target.is_described() && self.config.rejects_when_full(&target.info.pool);
+        if !refuses {
             target.foreign_runs_end_by.get_or_insert(now + self.timing.stop);
         }
         if target.foreign_runs_end_by.is_none_or(|end| end <= now) {
--- a/tests/dispatch/restarts.rs
+++ b/tests/dispatch/restarts.rs
@@ -1,17 +1,17 @@
 //! Targets that come back under their name as something else: with other labels, resources or another
 //! pool, or after a drain.
 
-use crate::simulation::{Simulation, URGENT, ms, submission};
+use crate::simulation::{Simulation, URGENT, config, ms, submission};
 use cranberrytray::{
     coordination::dispatch::{Action, replies::StartReply},
     state::{
-        fleet_config::{Label, PoolName},
-        job_submission::{JobSubmission, Outcome},
+        fleet_config::{Label, Pool, PoolName},
+        job_submission::{CallerJobId, JobSubmission, Outcome, TaskId},
         resources::MilliCores,
         target::{TargetIncarnation, TargetInfo},
     },
 };
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 /// A job of one task that targets of kind `a` can run.
 fn job_for_kind_a(id: u64) -> JobSubmission {
@@ -196,6 +196,32 @@
     }
 }
 
+/// Guards against more tasks than a target has room for: a new dispatcher knew only an entry of the former
+/// incarnation, in a pool whose targets refuse what doesn't fit, and didn't wait for the runs that it stopped.
+#[test]
+fn takeover_of_a_restarted_target_awaits_stopped_runs() {
+    let mut sim = Simulation::new(1);
+    let mut two_pools = config(2);
+    two_pools.queues[0].pool = PoolName::from("unguarded");
+    two_pools.pools.push(Pool { name: PoolName::from("unguarded"), rejects_when_full: false });
+    sim.dispatcher.set_config(Arc::new(two_pools));
+    let now = sim.now;
+    let target = sim.target(0);
+    target.restart(now);
+    target.registers_at = now + ms(5_000);
+    target.is_guarded = false;
+    for id in [7, 8] {
+        target.add_earlier_run(TaskId { job: CallerJobId(id), step: 0, index: 0 }, ms(800), now);
+    }
+    sim.publish_targets();
+    sim.run(ms(10));
+    publish_second_entry(&mut sim, |info| info.pool = PoolName::from("unguarded"));
+    let key = sim.submit(submission(1, URGENT, 2, ms(60)));
+    sim.run(ms(400));
+    assert_eq!(sim.target(0).overcommitted_starts, 0);
+    assert_eq!(sim.outcome(key), Some(Outcome::Completed));
+}
+
 /// Guards against a new dispatcher that takes the entry of a former incarnation for the present one.
 #[test]
 fn new_dispatcher_awaits_the_entry_of_a_restarted_target() {
