--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -226,8 +226,8 @@
             && job.is_some_and(|job| self.permits_start(job, target, now))
     }
 
-    /// Handles a rejected fencing token. A target that was handed over may still answer a request which
-    /// was sent before, after the successor's: that says nothing of the others.
+    /// Handles a rejected fencing token. A target that was handed over may reject a request that was sent
+    /// before, as its new owner has a higher token; the targets that are left are not affected.
     fn on_fenced(&mut self, id: &TargetId) {
         let Some(target) = self.targets.get(id) else { return };
         let was_accepted = target.accepted_token;
@@ -413,9 +413,10 @@
             return;
         }
         // Runs that are being stopped are not reported, but occupy the target until they end. Where
-        // it refuses tasks that don't fit, that needs no wait; a restarted target may be in another pool.
-        let refuses = target.is_described() && self.config.rejects_when_full(&target.info.pool);
-        if !refuses {
+        // it refuses tasks that don't fit, that needs no wait. A restarted target may be in another pool.
+        let rejects_when_full =
+            target.is_described() && self.config.rejects_when_full(&target.info.pool);
+        if !rejects_when_full {
             target.foreign_runs_end_by.get_or_insert(now + self.timing.stop);
         }
         if target.foreign_runs_end_by.is_none_or(|end| end <= now) {
--- a/src/coordination/dispatch/runs.rs
+++ b/src/coordination/dispatch/runs.rs
@@ -334,7 +334,7 @@
         let Some(job) = self.jobs.get(&key) else { return false };
         let Some(step) = job.step(task) else { return false };
         let Some(target) = self.targets.get(target_id) else { return false };
-        if !target.describes(run) {
+        if !target.shows_speed_of_kind(run) {
             return false;
         }
         let queue = &job.submission.queue;
@@ -387,7 +387,10 @@
         if self.was_cold(target_id, run, now) {
             return;
         }
-        let Some(target) = self.targets.get(target_id).filter(|t| t.describes(run)) else { return };
+        let Some(target) = self.targets.get(target_id) else { return };
+        if !target.shows_speed_of_kind(run) {
+            return;
+        }
         let kind = target.info.kind.clone();
         let took = (now - run.start_sent_at).as_secs_f64();
         let declared = self.declared_ms(declared);
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -393,9 +393,9 @@
         self.draining_incarnation == Some(incarnation)
     }
 
-    /// Whether `info` describes the incarnation that a run was started on, so that the run shows how fast
-    /// targets of this kind are.
-    pub fn describes(&self, run: &Run) -> bool {
+    /// Whether a run shows how fast targets of the kind in `info` are: it was started on the incarnation that
+    /// `info` describes.
+    pub fn shows_speed_of_kind(&self, run: &Run) -> bool {
         self.is_described() && run.incarnation == self.incarnation
     }
 
--- a/tests/dispatch/restarts.rs
+++ b/tests/dispatch/restarts.rs
@@ -13,6 +13,11 @@
 };
 use std::{sync::Arc, time::Duration};
 
+/// A change to an entry of the list.
+type EntryChange = fn(&mut TargetInfo);
+/// Something that becomes of target 0.
+type TargetChange = fn(&mut Simulation);
+
 /// A job of one task that targets of kind `a` can run.
 fn job_for_kind_a(id: u64) -> JobSubmission {
     let mut job = submission(id, URGENT, 1, ms(60));
@@ -39,7 +44,7 @@
 }
 
 /// Publishes an entry of the second incarnation of target 0, with further changes.
-fn publish_second_entry(sim: &mut Simulation, change: fn(&mut TargetInfo)) {
+fn publish_second_entry(sim: &mut Simulation, change: EntryChange) {
     sim.change_target(0, |info| {
         info.incarnation = TargetIncarnation(2);
         change(info);
@@ -50,7 +55,7 @@
 /// small or already draining, which were decided by the list entry of its former incarnation.
 #[test]
 fn restarted_target_is_judged_by_its_own_entry() {
-    let changes: [(&str, fn(&mut TargetInfo)); 4] = [
+    let changes: [(&str, EntryChange); 4] = [
         ("labels", |info| info.labels[0] = Label::from("b")),
         ("pool", |info| info.pool = PoolName::from("other")),
         ("capacity", |info| info.capacity.cpu = MilliCores(7_000)),
@@ -110,7 +115,7 @@
 /// there, without a look at what had become of the target since.
 #[test]
 fn unanswered_start_is_sent_again_only_to_the_same_target() {
-    let changes: [(&str, fn(&mut Simulation)); 4] = [
+    let changes: [(&str, TargetChange); 4] = [
         ("none", |_| {}),
         ("report of a restart", restart_and_report),
         ("entry of a restart", |sim| {
