--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -215,17 +215,6 @@
         self.actions.push(Action::Start { request, spec, lease_end: lease.end });
     }
 
-    /// Whether an unanswered start of a task may be sent again to a target. The first request may be
-    /// lost, so that the second one starts the run: it must suit the target as it is now.
-    fn permits_repeated_start(&self, id: &TargetId, task: TaskId, now: Moment) -> bool {
-        let Some(target) = self.targets.get(id) else { return false };
-        let Some(run) = target.runs.get(&task) else { return false };
-        let job = run.job.and_then(|key| self.jobs.get(&SubmissionKey(key)));
-        run.incarnation == target.incarnation
-            && target.accepts_tasks()
-            && job.is_some_and(|job| self.permits_start(job, target, now))
-    }
-
     /// Handles a rejected fencing token. A target that was handed over may reject a request that was sent
     /// before, as its new owner has a higher token; the targets that are left are not affected.
     fn on_fenced(&mut self, id: &TargetId) {
--- a/src/coordination/dispatch/restarts.rs
+++ b/src/coordination/dispatch/restarts.rs
@@ -4,7 +4,7 @@
 //! anew, and that incarnation knows no stops and no fencing tokens, so it may accept the request. It is
 //! voided by a stop that the new incarnation confirms.
 
-use super::{Action, Dispatcher};
+use super::{Action, Dispatcher, SubmissionKey};
 use crate::state::{
     job_submission::{RunNumber, TaskId},
     target::{Run, RunState, Target, TargetId, TargetIncarnation, UnansweredStart},
@@ -82,6 +82,17 @@
         self.log_restart(id, earlier);
     }
 
+    /// Whether an unanswered start of a task may be sent again to a target. The first request may be
+    /// lost, so that the second one starts the run: it must suit the target as it is now.
+    pub(super) fn permits_repeated_start(&self, id: &TargetId, task: TaskId, now: Moment) -> bool {
+        let Some(target) = self.targets.get(id) else { return false };
+        let Some(run) = target.runs.get(&task) else { return false };
+        let job = run.job.and_then(|key| self.jobs.get(&SubmissionKey(key)));
+        run.incarnation == target.incarnation
+            && target.accepts_tasks()
+            && job.is_some_and(|job| self.permits_start(job, target, now))
+    }
+
     /// Sends stops for the start requests that a target may still receive, although they were sent to
     /// an earlier incarnation; called with each report, until the target has confirmed them.
     pub(super) fn void_unanswered_starts(&mut self, id: &TargetId) {
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -151,6 +151,12 @@
         });
     }
 
+    /// Whether this VM may start tasks: it is a dispatcher, or runs its open jobs to their end while a
+    /// successor takes its shard over. Until then it needs the list of targets as a dispatcher does.
+    pub fn starts_tasks(&self) -> bool {
+        self.dispatcher.borrow().is_some()
+    }
+
     /// Whether this VM dispatches jobs that are not answered yet.
     pub fn has_open_jobs(&self) -> bool {
         self.dispatcher.borrow().as_ref().is_some_and(|d| d.core.open_jobs() > 0)
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -289,12 +289,6 @@
         self.dispatcher.borrow().as_ref().is_some_and(|d| d.successor.is_none())
     }
 
-    /// Whether this VM may start tasks: it is a dispatcher, or runs its open jobs to their end while a
-    /// successor takes its shard over. Until then it needs the list of targets as a dispatcher does.
-    pub fn starts_tasks(&self) -> bool {
-        self.dispatcher.borrow().is_some()
-    }
-
     /// Whether this VM is leaving: its process is about to exit.
     pub fn is_leaving(&self) -> bool {
         self.exits_at.get().is_some()
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod fake_target;
 mod faulty_targets;
+mod fixtures;
 mod large_jobs;
 mod late_orders;
 mod load;
