Leave targets that accept no tasks out of usable_targets

What operators saw: the metric "targets that this dispatcher may start work on" counted targets that drain and, since restarted targets wait for their entry, those as well, so that nothing but the log showed them.

Change: it asks accepts_tasks, as placement does. No decision uses it.

Before: usable_targets_are_those_that_accept_tasks fails. After: it passes.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -294,10 +294,14 @@
         self.jobs.len() + self.deferred.len()
     }
 
-    /// Number of targets that are taken over, respond and are not evacuated.
+    /// Number of targets that are taken over, respond, accept tasks and are not evacuated.
     pub fn usable_targets(&self) -> usize {
-        let is_counted =
-            |t: &&Target| t.taken_over && t.unresponsive_since.is_none() && !self.is_evacuated(t);
+        let is_counted = |t: &&Target| {
+            t.taken_over
+                && t.unresponsive_since.is_none()
+                && t.accepts_tasks()
+                && !self.is_evacuated(t)
+        };
         self.targets.values().filter(is_counted).count()
     }
 
--- a/tests/dispatch/restarts.rs
+++ b/tests/dispatch/restarts.rs
@@ -101,6 +101,20 @@
     }
 }
 
+/// Guards against a metric that counts targets which get no tasks: those that drain, and restarted ones
+/// until their own entry is read.
+#[test]
+fn usable_targets_are_those_that_accept_tasks() {
+    let mut sim = Simulation::new(3).take_over();
+    assert_eq!(sim.dispatcher.usable_targets(), 3);
+    sim.change_target(1, |info| info.draining = true);
+    assert_eq!(sim.dispatcher.usable_targets(), 2);
+    restart_and_report(&mut sim);
+    assert_eq!(sim.dispatcher.usable_targets(), 1);
+    publish_second_entry(&mut sim, |_| {});
+    assert_eq!(sim.dispatcher.usable_targets(), 2);
+}
+
 /// Guards against a target that is lost for good after a restart that leaves its entry as it was.
 #[test]
 fn restarted_target_is_used_once_its_entry_is_read() {
