--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -2,7 +2,6 @@
 //! Exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
 
 mod base;
-mod cancel;
 mod drained;
 mod handover;
 mod outage;
@@ -36,7 +35,6 @@
         "outage" => outage::play(&record, trouble),
         "handover" => handover::play(&record, trouble),
         "drained" => drained::play(&record, trouble),
-        "cancel" => cancel::play(&record, trouble),
         _ => Verdict::NotRun,
     };
     let (text, code) = match verdict {
--- a/review/stand-2/record.rs
+++ b/review/stand-2/record.rs
@@ -22,7 +22,6 @@
     pub at: Duration,
     pub worker: String,
     pub task: String,
-    pub how: &'static str,
 }
 
 pub struct Record {
@@ -60,7 +59,7 @@
     pub fn ended(&self, worker: &str, task: &str, number: i64, how: &'static str) {
         self.line(&format!("{worker} ends {task}, run {number}: {how}"));
         let (worker, task) = (worker.to_owned(), task.to_owned());
-        self.ends.lock().unwrap().push(End { at: self.now(), worker, task, how });
+        self.ends.lock().unwrap().push(End { at: self.now(), worker, task });
     }
 
     pub fn stop_asked(&self, worker: &str, task: &str, number: i64) {
