--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -111,6 +111,15 @@
         self.publish_targets();
     }
 
+    /// Begins a handover. The dispatcher keeps the targets that it uses and forgets the others; returns
+    /// those that it keeps.
+    pub fn begin_handover(&mut self) -> Vec<TargetId> {
+        self.dispatcher.begin_handover();
+        let kept = self.dispatcher.targets_in_use(true);
+        self.dispatcher.retain_targets(&kept);
+        kept
+    }
+
     /// Publishes the targets, and runs until they are taken over.
     pub fn take_over(mut self) -> Self {
         self.publish_targets();
