Remember targets that drained before their entry was removed

Its target drained, lost the store and its entry; then the dispatcher was killed, and the next one started the job about 0.1 s later, beside the first run.

Cause: KnownTargets keeps no note of a dropped target that was draining, "as no task is started on them". The note answers another question: whether a run from before may be left. So knows_targets_in_use called the list complete. The claim is right on this.

Ruled out: the leases.

Change: a dropped target is noted whatever its state was. A planned shutdown and a target that is cut off look alike to a reader of the list, so a takeover within 66 s after either waits for the leases, 0.96 s at most, before it starts resumed jobs.

--- a/src/state/known_targets.rs
+++ b/src/state/known_targets.rs
@@ -45,7 +45,7 @@
 pub struct KnownTargets {
     entries: IndexMap<TargetId, Entry>,
     /// Targets that are no longer in `entries`, with the time of the first read in which the list lacked
-    /// them. Targets that were draining are left out, as no task is started on them.
+    /// them. A target that was draining may still have runs from before.
     dropped: IndexMap<TargetId, Moment>,
     /// Time of the first of the uninterrupted successful reads of the list; `None` after a failure.
     readable_since: Option<Moment>,
@@ -73,8 +73,7 @@
         }
         let is_dropped = |e: &Entry| e.missing_since.is_some_and(|at| now - at > MISSING_GRACE);
         for (id, entry) in self.entries.extract_if(.., |_, entry| is_dropped(entry)) {
-            let missing_since = entry.missing_since.filter(|_| !entry.info.draining);
-            self.dropped.extend(missing_since.map(|since| (id, since)));
+            self.dropped.extend(entry.missing_since.map(|since| (id, since)));
         }
         self.dropped.retain(|_, since| now - *since < MAX_DROPPED_AGE);
         changed || len_before != self.entries.len()
