Remember removed targets until the longest run has ended

What callers could see: a task that runs twice. Not seen in a deployment; by reading and by the test below.

Cause: a removed entry was forgotten after 60 s, which exceeded the longest use of its target while runs ended 1.5 s after their start. A takeover between the two called the list complete.

Change: the time is derived from the longest deadline, twice of it.

Test: knows_targets_in_use_not_before_the_longest_run_has_ended; before, it fails at a read 60 s after the removal.

--- a/src/state/known_targets.rs
+++ b/src/state/known_targets.rs
@@ -1,6 +1,7 @@
 //! The targets in the platform's list, and those that disappeared from the list recently.
 
 use super::{
+    job_submission::MAX_TIME_TO_DEADLINE,
     target::{TargetId, TargetInfo},
     time::Moment,
 };
@@ -16,8 +17,9 @@
 /// another VM.
 const MAX_STARTS_ON_MISSING: Duration = Duration::from_millis(4_600);
 
-/// Time for which a removed entry is remembered; more than the longest use of its target.
-const MAX_DROPPED_AGE: Duration = Duration::from_secs(60);
+/// Time for which a removed entry is remembered. It exceeds the longest use of its target, which ends with
+/// the lease of a run that a job with the latest deadline started [`MAX_STARTS_ON_MISSING`] after the removal.
+const MAX_DROPPED_AGE: Duration = MAX_TIME_TO_DEADLINE.saturating_mul(2);
 
 /// A known target.
 #[derive(Clone, Debug)]
--- a/tests/known_targets.rs
+++ b/tests/known_targets.rs
@@ -3,6 +3,7 @@
 use cranberrytray::state::{
     fleet_config::{Label, PoolName},
     id::ZoneName,
+    job_submission::MAX_TIME_TO_DEADLINE,
     known_targets::KnownTargets,
     resources::Resources,
     target::{TargetId, TargetIncarnation, TargetInfo},
@@ -155,3 +156,19 @@
     known.on_list_read(None, at(9_000));
     assert!(!known.knows_targets_in_use(max_run));
 }
+
+/// Guards against the same after a minute: a dropped target was forgotten before the longest run that may
+/// have been started there had ended.
+#[test]
+fn knows_targets_in_use_not_before_the_longest_run_has_ended() {
+    let max_run = MAX_TIME_TO_DEADLINE + Duration::from_millis(960);
+    let mut known = KnownTargets::default();
+    known.on_list_read(Some(vec![target(1), target(2)]), at(1_000));
+    known.on_list_read(Some(vec![target(1)]), at(100_000));
+    for read_at in (103_000..165_500).step_by(500) {
+        known.on_list_read(None, at(read_at));
+        assert!(!known.knows_targets_in_use(max_run), "{read_at} ms");
+    }
+    known.on_list_read(None, at(165_560));
+    assert!(known.knows_targets_in_use(max_run));
+}
