Start resumed jobs before a handover

What callers saw: 504 ("some tasks may have run") for each job that had lost its dispatcher, where the next one handed the zone over within a second.

Cause: such jobs wait until runs of the lost dispatcher are over. A handover looks only at runs and waiting tasks, so it gave up the targets and stepped down meanwhile.

Weighed: keeping all targets during the handover; the successor would refuse new jobs for as long. Jobs that wait for runs of this dispatcher itself don't count, as their targets are kept.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -294,6 +294,11 @@
         self.jobs.len() + self.deferred.len()
     }
 
+    /// Whether jobs wait until no run of theirs is left that an earlier dispatcher started.
+    pub fn awaits_earlier_runs(&self) -> bool {
+        self.deferred.iter().any(|deferred| deferred.resumed_at.is_some())
+    }
+
     /// Number of targets that are taken over, respond, accept tasks and are not evacuated.
     pub fn usable_targets(&self) -> usize {
         let is_counted = |t: &&Target| {
--- a/src/fleet/election.rs
+++ b/src/fleet/election.rs
@@ -105,12 +105,16 @@
         }
     }
 
-    /// Hands the shard over to a peer that may be elected for it and is much stronger.
+    /// Hands the shard over to a peer that may be elected for it and is much stronger, once this VM has
+    /// all targets and has started the jobs of an earlier dispatcher.
     async fn hand_over_to_stronger(self: &Rc<Self>, index: u16, links: &[Rc<PeerLink>]) {
-        let has_all_targets =
-            self.dispatcher.borrow().as_ref().is_some_and(|d| !d.predecessor_has_targets);
+        let has_taken_over = self
+            .dispatcher
+            .borrow()
+            .as_ref()
+            .is_some_and(|d| !d.predecessor_has_targets && !d.core.awaits_earlier_runs());
         let is_stronger = |link: &&Rc<PeerLink>| self.should_hand_over(link, index);
-        let Some(stronger) = links.iter().find(is_stronger).filter(|_| has_all_targets) else {
+        let Some(stronger) = links.iter().find(is_stronger).filter(|_| has_taken_over) else {
             return;
         };
         // This connection will carry jobs, so it needs frequent heartbeats.
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -29,8 +29,14 @@
     T: TargetClient,
 {
     /// If this VM is a dispatcher, hands its shard over to the first candidate that accepts it, in the
-    /// order of their rank.
+    /// order of their rank. Jobs of an earlier dispatcher are started first, as they need the targets.
     pub(super) async fn hand_over_zone(self: Rc<Self>) {
+        let leaving_since = Instant::now();
+        while self.with_dispatcher(|d| d.core.awaits_earlier_runs()) == Some(true)
+            && leaving_since.elapsed() < self.timing.lease_bound
+        {
+            sleep(UPDATE_INTERVAL).await;
+        }
         let begun = Instant::now();
         while self.enables(Mechanism::Handover)
             && self.is_dispatcher()
