--- a/src/coordination/dispatch/timing.rs
+++ b/src/coordination/dispatch/timing.rs
@@ -27,7 +27,7 @@
 /// that carry jobs, so that the submitter closes the connection first.
 pub const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_millis(650);
 
-/// Bounds that the platform declares for leases and runs.
+/// Bounds that the platform declares for leases, runs and the list of targets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RunBounds {
     /// Longest lease that a target grants.
@@ -39,6 +39,8 @@
     /// Factor by which tasks take longer on another rack than their data or the other tasks of
     /// their step.
     pub off_rack_factor: f64,
+    /// Shortest time for which the list has the entry of a target, also of one that is silent since.
+    pub entry_lifetime: Duration,
 }
 
 impl Default for RunBounds {
@@ -48,6 +50,7 @@
             max_stop: Duration::from_millis(50),
             resubmit_delay: Duration::from_millis(1_300),
             off_rack_factor: 1.5,
+            entry_lifetime: Duration::from_millis(4_500),
         }
     }
 }
@@ -129,6 +132,8 @@
     pub unresponsive_timeout: Duration,
     /// As [`RunBounds::off_rack_factor`].
     pub off_rack_factor: f64,
+    /// As [`RunBounds::entry_lifetime`].
+    pub entry_lifetime: Duration,
 }
 
 impl Default for Timing {
@@ -157,6 +162,7 @@
                 .saturating_sub(bound_of(MIN_LEASE))
                 .min(UNRESPONSIVE_TIMEOUT),
             off_rack_factor: bounds.off_rack_factor,
+            entry_lifetime: bounds.entry_lifetime,
         }
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -241,7 +241,10 @@
     }
 
     fn on_targets_read_at(self: &Rc<Self>, list: Option<Vec<TargetInfo>>, read_at: Moment) {
-        let changed = self.known_targets.borrow_mut().on_list_read(list, read_at);
+        let mut known_targets = self.known_targets.borrow_mut();
+        known_targets.expire_reads(self.timing.entry_lifetime, self.clock.now());
+        let changed = known_targets.on_list_read(list, read_at);
+        drop(known_targets);
         if changed {
             self.count_shards();
         }
--- a/src/state/known_targets.rs
+++ b/src/state/known_targets.rs
@@ -81,6 +81,14 @@
         changed || len_before != self.entries.len()
     }
 
+    /// Counts the successful reads as interrupted if the last one is more than `entry_lifetime` ago: an
+    /// entry may have been added and removed since.
+    pub fn expire_reads(&mut self, entry_lifetime: Duration, now: Moment) {
+        if now - self.last_read_at > entry_lifetime {
+            self.readable_since = None;
+        }
+    }
+
     /// Records a failed read of the list.
     pub fn on_list_read_failed(&mut self) {
         self.readable_since = None;
--- a/tests/known_targets.rs
+++ b/tests/known_targets.rs
@@ -172,3 +172,22 @@
     known.on_list_read(None, at(165_560));
     assert!(known.knows_targets_in_use(max_run));
 }
+
+/// Guards against the same where an entry was added and removed between two reads, so that this VM never
+/// saw its target.
+#[test]
+fn knows_targets_in_use_not_after_a_pause_between_reads() {
+    let max_run = Duration::from_millis(2_460);
+    let lifetime = Duration::from_millis(4_500);
+    let mut known = KnownTargets::default();
+    let mut read = |ms| {
+        known.expire_reads(lifetime, at(ms));
+        known.on_list_read(None, at(ms));
+        known.knows_targets_in_use(max_run)
+    };
+    assert!(![1_000, 5_500].map(&mut read).contains(&true));
+    assert!(read(10_000), "no entry can be missed");
+    assert!(!read(14_600));
+    assert!(![18_000, 21_600].map(&mut read).contains(&true));
+    assert!(read(21_700));
+}
