Leave jobs that wait for earlier runs to the successor

What callers saw: 504 ("some tasks may have run") for a job that was resumed within a few milliseconds before a handover, in 1 of 3 runs of dispatcher_starts_resumed_jobs_before_it_hands_over beside a load. "Start resumed jobs before a handover" looks for such jobs before it connects to the successor; one that comes meanwhile was given up at the end of the handover.

Change: what still waits when the handover begins is refused as closed, like a submission that comes later. The entry VM submits it to the successor, as a job that may have run, and the successor waits for the leases.

Evidence: the log of the failed run has the job resumed between the decision and "handing over", 8 ms.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -83,7 +83,7 @@
         self.check_suspension(now);
         let resumed_at = resumed.then_some(now);
         if self.handing_over {
-            self.refuse(&[key], &submission, Refusal::Closed, MIN_RETRY_AFTER, Duration::ZERO);
+            self.refuse_closed(&[key], &submission);
         } else if let Some(&first) = self.keys_by_job_id.get(&submission.id) {
             if let Some(job) = self.jobs.get_mut(&first) {
                 job.submissions.push(key);
@@ -120,8 +120,8 @@
     /// Whether no run that an earlier dispatcher started can still exist of a job that was resumed at
     /// `resumed_at`, if it was: either the leases of such runs have expired, or every target was taken
     /// over and the list is known to be complete. The submitter may have lost the earlier dispatcher only
-    /// just before it resumed the job. During a handover only the leases count, since targets that this
-    /// dispatcher has released, or doesn't take over any more, may still have such runs.
+    /// just before it resumed the job. A dispatcher that hands over has no such job, as it lacks the
+    /// targets that it has released.
     fn has_no_earlier_runs(&self, resumed_at: Option<Moment>, now: Moment) -> bool {
         let Some(resumed_at) = resumed_at else { return true };
         let last_renewal = self.sole_owner_since.max(resumed_at);
@@ -129,12 +129,8 @@
         // A target no longer lists a run that is being stopped, although the run may still exist.
         let has_no_runs = |t: &Target| t.taken_over && now - t.taken_over_at > self.timing.stop;
         let no_runs_on_targets = || self.targets.values().all(has_no_runs);
-        let all_taken_over = || {
-            !self.handing_over
-                && self.list_status.is_complete
-                && !self.targets.is_empty()
-                && no_runs_on_targets()
-        };
+        let all_taken_over =
+            || self.list_status.is_complete && !self.targets.is_empty() && no_runs_on_targets();
         self.predecessor_targets.is_empty() && (leases_expired || all_taken_over())
     }
 
@@ -392,6 +388,11 @@
         self.log(LogEvent::Refused { job, refusal, expected, age, waiting, usable });
     }
 
+    /// Refuses a job that the successor is to decide on.
+    pub(super) fn refuse_closed(&mut self, keys: &[SubmissionKey], submission: &JobSubmission) {
+        self.refuse(keys, submission, Refusal::Closed, MIN_RETRY_AFTER, Duration::ZERO);
+    }
+
     pub(super) fn refuse(
         &mut self,
         keys: &[SubmissionKey],
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -377,9 +377,16 @@
         self.start_waiting_tasks(now);
     }
 
-    /// Refuses new jobs from now on; open jobs are run to their end.
+    /// Refuses new jobs from now on; open jobs are run to their end. Jobs that wait for runs of an earlier
+    /// dispatcher are left to the successor, as this one releases targets on which such runs may be.
     pub fn begin_handover(&mut self) {
         self.handing_over = true;
+        let (resumed, others): (Vec<_>, _) =
+            std::mem::take(&mut self.deferred).into_iter().partition(|d| d.resumed_at.is_some());
+        self.deferred = others;
+        for deferred in resumed {
+            self.refuse_closed(&deferred.keys, &deferred.submission);
+        }
     }
 
     /// Returns the targets that a leaving dispatcher still uses: those with runs, and the others too
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -77,10 +77,7 @@
             return false;
         }
         log::info!("dispatch: handing {} over to {}", self.own_shard(), link.address);
-        self.with_dispatcher(|d| {
-            d.successor = Some(link.address);
-            d.core.begin_handover();
-        });
+        self.with_dispatcher(|d| d.successor = Some(link.address));
         self.shard_link(self.shard_index()).set(Some(Rc::clone(link)));
         let begun = Instant::now();
         loop {
--- a/tests/dispatch/simulation.rs
+++ b/tests/dispatch/simulation.rs
@@ -115,6 +115,7 @@
     /// those that it keeps.
     pub fn begin_handover(&mut self) -> Vec<TargetId> {
         self.dispatcher.begin_handover();
+        self.process_actions();
         let kept = self.dispatcher.targets_in_use(true);
         self.dispatcher.retain_targets(&kept);
         kept
