Keep a predecessor's targets in a second handover

What callers saw: with our stand-ins, 504 ("some tasks may have run") for the open jobs of a dispatcher that hands over, when its successor is stopped before it has finished.

Cause: the successor hands over in its turn and names the targets that it uses itself. Those which its predecessor keeps go to the third dispatcher, whose fencing token makes the predecessor step down. And while it hands over it refuses the predecessor's lists, so that it takes it for unresponsive after 0.4 s.

Change: it passes the kept targets of its predecessor on and follows its lists to the end, for which its process waits within the grace period.

--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -411,6 +411,11 @@
         self.predecessor_targets = kept.into_iter().collect();
     }
 
+    /// Iterates over the targets that a leaving predecessor still uses.
+    pub fn predecessor_targets(&self) -> impl Iterator<Item = &TargetId> {
+        self.predecessor_targets.iter()
+    }
+
     /// Abandons all jobs and forgets all targets, since another dispatcher owns them.
     pub fn abandon(&mut self) {
         let keys: Vec<SubmissionKey> = self.jobs.keys().copied().collect();
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -157,9 +157,11 @@
         self.dispatcher.borrow().is_some()
     }
 
-    /// Whether this VM dispatches jobs that are not answered yet.
+    /// Whether jobs are not answered yet that this VM dispatches, or its predecessor, which still hands
+    /// the shard over to it.
     pub fn has_open_jobs(&self) -> bool {
-        self.dispatcher.borrow().as_ref().is_some_and(|d| d.core.open_jobs() > 0)
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.as_ref().is_some_and(|d| d.core.open_jobs() > 0 || d.predecessor_has_targets)
     }
 
     /// Stops being the dispatcher, and answers the open submissions with the outcome that is known.
--- a/src/fleet/handover.rs
+++ b/src/fleet/handover.rs
@@ -2,7 +2,8 @@
 //!
 //! The leaving dispatcher accepts no new jobs. At first it keeps all targets while tasks wait, then those
 //! with runs, until its jobs or its process end. The successor takes over the targets that are not kept,
-//! and all of them once the predecessor has finished or is unresponsive.
+//! and all of them once the predecessor has finished or is unresponsive. A successor that has to leave
+//! before keeps the targets of its predecessor in the same way.
 
 use super::{Node, TargetClient, dispatcher::DispatcherState, election};
 use crate::{
@@ -79,12 +80,15 @@
         log::info!("dispatch: handing {} over to {}", self.own_shard(), link.address);
         self.with_dispatcher(|d| d.successor = Some(link.address));
         self.shard_link(self.shard_index()).set(Some(Rc::clone(link)));
+        self.drive(|core, _| core.begin_handover());
         let begun = Instant::now();
         loop {
             let awaits_starts = begun.elapsed() <= MAX_WAIT_FOR_STARTS;
             let kept = self.with_dispatcher(|d| {
-                let kept = d.core.targets_in_use(awaits_starts);
+                let mut kept = d.core.targets_in_use(awaits_starts);
                 d.core.retain_targets(&kept);
+                // This VM's own predecessor may not have finished.
+                kept.extend(d.core.predecessor_targets().cloned());
                 kept
             });
             let kept = kept.unwrap_or_default();
@@ -102,10 +106,7 @@
     /// which it still uses; called again with each new list. Returns false if this VM refuses.
     pub(super) fn take_over_from(self: &Rc<Self>, epoch: u64, kept: Vec<TargetId>) -> bool {
         self.highest_epoch.set(self.highest_epoch.get().max(epoch));
-        if self.with_dispatcher(|d| d.successor.is_some()) == Some(true) {
-            return false; // This VM is handing its shard over itself.
-        }
-        if !self.is_dispatcher() {
+        if !self.starts_tasks() {
             if self.is_leaving() || self.config().is_none() || self.shard_targets().is_empty() {
                 return false;
             }
