--- a/tests/known_targets.rs
+++ b/tests/known_targets.rs
@@ -110,7 +110,7 @@
     assert!(known.knows_targets_in_use(max_run));
 }
 
-/// A target that is back in the list holds nothing up.
+/// A target that is back in the list is waited for no longer.
 #[test]
 fn knows_targets_in_use_after_a_return() {
     let max_run = Duration::from_millis(2_460);
