Bound the start requests and runs of a target

What callers saw: a job of 9,900 tasks that need a thousandth of a core made its dispatcher answer nobody.

Cause: any number of tasks fits on a target if they need next to no CPU, and each start takes a connection of its own until it is answered.

Ruled out: memory, as the hang remained once the memory of jobs was bounded.

Change: a target has at most 64 runs at once, as many as it accepts connections (MAX_SLOTS, which forecasts used already, was 1,000), and a dispatcher at most 512 start requests without an answer. Real tasks need 7 to 32 cores, so that a target has a handful.

Result: on tests/dispatch/tiny_tasks fails with 10,001 start requests and 1,000 starts on a target; it passes now.

--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -9,7 +9,7 @@
     job_submission::{Step, TaskId},
     mechanism::Mechanism,
     start_answer::StartAnswer,
-    target::{Run, RunState, Target, TargetId},
+    target::{MAX_SLOTS, Run, RunState, Target, TargetId},
     time::Moment,
 };
 use std::{cmp::Ordering, time::Duration};
@@ -20,6 +20,9 @@
 /// Number of jobs that are left waiting, those with smaller tasks behind the first
 /// [`MAX_BLOCKED_JOBS`] included, at which a pass ends in any case; it bounds the cost of a pass.
 const MAX_BLOCKED_BACKFILLS: usize = 12;
+/// Largest number of start requests without an answer, each of which takes a connection. Answers take
+/// milliseconds, so the largest sites have some dozens under way.
+const MAX_PENDING_STARTS: usize = 512;
 /// A target is preferred where a task would meet its job's objective even if it took this many
 /// times its expected run time, since half of all tasks take longer than expected.
 pub(super) const OBJECTIVE_SAFETY: f64 = 1.7;
@@ -68,6 +71,13 @@
         if self.enables(Mechanism::ObjectiveSafety) { OBJECTIVE_SAFETY } else { 1.0 }
     }
 
+    /// Number of start requests that may be sent until others are answered.
+    pub(super) fn starts_left(&self) -> usize {
+        let runs = self.targets.values().flat_map(|target| target.runs.values());
+        let pending = runs.filter(|run| run.state == RunState::Starting).count();
+        MAX_PENDING_STARTS.saturating_sub(pending)
+    }
+
     /// Starts waiting tasks, those of the most urgent job first, while targets have free resources.
     pub(super) fn start_waiting_tasks(&mut self, now: Moment) {
         if self.queued_jobs.is_empty() || !self.is_active {
@@ -77,6 +87,9 @@
         let mut plan = self.new_pass_plan();
         let mut blocked_jobs = 0;
         for key in keys {
+            if plan.starts_left == 0 {
+                return;
+            }
             if blocked_jobs >= MAX_BLOCKED_JOBS
                 && (blocked_jobs >= MAX_BLOCKED_BACKFILLS || !self.may_backfill(key, &plan))
             {
@@ -96,7 +109,7 @@
     fn start_tasks_of(&mut self, key: SubmissionKey, plan: &mut PassPlan, now: Moment) -> bool {
         loop {
             let Some(job) = self.jobs.get(&key) else { return true };
-            if self.has_silent_submitter(key, now) {
+            if plan.starts_left == 0 || self.has_silent_submitter(key, now) {
                 break;
             }
             // Suspects that have to wait block neither their job nor others.
@@ -116,6 +129,7 @@
                 job.waiting_tasks.remove(position);
             }
             self.start_run(key, task, &step, &best, now);
+            plan.starts_left -= 1;
         }
         self.update_queue(key);
         true
@@ -142,6 +156,7 @@
         let avoided = failed_on.filter(|failed_on| has_other(failed_on));
         let fits = |t: &&Target| {
             avoided != Some(&t.info.id)
+                && t.runs.len() < MAX_SLOTS as usize
                 && step.needs.fits_in(t.startable_resources(now))
                 && self.is_eligible(job, step, t, now)
                 && !self.hosts_suspect(t)
--- a/src/coordination/dispatch/reservation.rs
+++ b/src/coordination/dispatch/reservation.rs
@@ -41,6 +41,8 @@
     reservations: Vec<Reservation>,
     /// Least CPU of a large task that was left waiting, in thousandths of a core.
     min_waiting_cpu: Option<u64>,
+    /// Number of start requests that may be sent until others are answered.
+    pub(super) starts_left: usize,
 }
 
 impl PassPlan {
@@ -93,7 +95,11 @@
 impl Dispatcher {
     /// Returns the plan with which a pass over the queue begins.
     pub(super) fn new_pass_plan(&self) -> PassPlan {
-        PassPlan { large_task_pools: self.large_task_pools(), ..PassPlan::default() }
+        PassPlan {
+            large_task_pools: self.large_task_pools(),
+            starts_left: self.starts_left(),
+            ..PassPlan::default()
+        }
     }
 
     /// Whether placement looks ahead for a job.
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -19,9 +19,9 @@
 /// so that the run's lease expires if no stop request arrives. Twice the usual request timeout.
 const STOP_CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Largest number of tasks that a forecast expects to run at once on a target. It bounds the cost of
-/// forecasts where a target claims to have any capacity or tasks need next to none.
-pub const MAX_SLOTS: u64 = 1_000;
+/// Largest number of tasks that run at once on a target, which accepts as many connections. It bounds the
+/// cost of forecasts and reports where a target claims to have any capacity or tasks need next to none.
+pub const MAX_SLOTS: u64 = 64;
 
 /// Name of a target, unique on the platform.
 #[derive(
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -23,3 +23,4 @@
 mod step_down;
 mod steps;
 mod takeover;
+mod tiny_tasks;
