Compute the chains of a job's steps in one pass

What callers saw: a crowd of jobs with many steps kept a dispatcher busy for so long that its heartbeats were missing.

Cause: chain_durations looked through all later steps for each step. A body of legal size holds some 20,000 steps.

Change: each step passes its chain on to the steps that it names in `after`, so the work grows with the size of the body.

--- a/src/state/job_submission.rs
+++ b/src/state/job_submission.rs
@@ -120,13 +120,17 @@
 where
     F: Fn(&Step) -> Duration,
 {
+    // Holds the longest chain after each step until the step itself is added.
     let mut chains = vec![Duration::ZERO; steps.len()];
     for (n, step) in steps.iter().enumerate().rev() {
-        let own = if step.count > 0 { run_time(step) } else { Duration::ZERO };
-        let successors = steps.iter().zip(&chains).skip(n + 1);
-        let followers = successors.filter(|(s, _)| s.after.contains(&(n as u32)));
-        let rest = followers.map(|(_, chain)| *chain).max();
-        chains[n] = own + rest.unwrap_or_default();
+        if step.count > 0 {
+            chains[n] += run_time(step);
+        }
+        let chain = chains[n];
+        for &earlier in step.after.iter().filter(|&&earlier| (earlier as usize) < n) {
+            let after_earlier = &mut chains[earlier as usize];
+            *after_earlier = chain.max(*after_earlier);
+        }
     }
     chains
 }
