Limit callers' connections, and close those without progress

What callers saw: whoever held connections open, with nothing, part of a head or unread responses on them, took all descriptors of a VM for good; `idleTimeoutMs` was read and never applied. Ordinary idle connections, on the other hand, were closed after `headerTimeoutMs`, since the HTTP library's timer for heads also runs while a connection is idle.

Cause: the number of connections was not limited, and nothing but that timer ended one. The settings' `memoryMb` and `maxFds` were not read.

Change: callers get half of the descriptors that sockets may use, and no more than a quarter of the memory allows. A further connection takes the place of the one that has waited longest for its caller, so that a crowd that holds its connections keeps nobody out. One whose request is complete is never closed. `idleTimeoutMs` counts for idle connections, bodies that stop and responses that aren't read, `headerTimeoutMs` for heads that were begun.

--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -164,6 +164,7 @@
         let mut registry = Registry::with_prefix("cranberrytray");
         self.metrics.register(&mut registry);
         self.register_gauges(&mut registry);
+        self.register_caller_metrics(&mut registry);
         register_counts(&mut registry, self.counts());
         let mut text = String::new();
         encode(&mut text, &registry)?;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! Everything runs on one thread, since these VMs have a fraction of a core. The caller of this
 //! module supplies the configuration, the lists of VMs and targets, and a client for targets.
 
+pub mod callers;
 pub mod clock;
 pub mod decision_log;
 pub mod dispatcher;
@@ -25,6 +26,7 @@
     },
     protocol::fleet::{DispatchReply, Heartbeat, Peer, Snapshot, TargetList, ZoneDispatcher},
     state::{
+        caller_limits::CallerLimits,
         crash_history::CrashHistory,
         evacuation::Evacuations,
         fleet_config::FleetConfig,
@@ -40,6 +42,7 @@
         received_job::{ReceivedJob, ReceivedJobEvent},
     },
 };
+use callers::CallerResources;
 use clock::Clock;
 use decision_log::DecisionLog;
 use dispatcher::DispatcherState;
@@ -117,6 +120,7 @@
     /// Whether the configuration is being fetched from a peer.
     fetching_config: Cell<bool>,
     started: Instant,
+    callers: CallerResources,
     decision_log: RefCell<DecisionLog>,
     metrics: Metrics,
     /// Counts of the earlier periods in which this VM was the dispatcher.
@@ -127,9 +131,20 @@
 where
     T: TargetClient,
 {
-    /// Creates a VM without configuration, peers and targets. The mechanisms in `disabled` are
-    /// switched off.
+    /// Creates a VM without configuration, peers and targets, and with the usual limits on callers. The
+    /// mechanisms in `disabled` are switched off.
     pub fn new(me: Peer, targets: T, timing: Timing, disabled: MechanismSet) -> Rc<Self> {
+        Node::with_limits(me, targets, timing, disabled, CallerLimits::default())
+    }
+
+    /// As [`Node::new`], with other limits on what callers may use.
+    pub fn with_limits(
+        me: Peer,
+        targets: T,
+        timing: Timing,
+        disabled: MechanismSet,
+        limits: CallerLimits,
+    ) -> Rc<Self> {
         Rc::new(Node {
             me,
             targets,
@@ -154,6 +169,7 @@
             leaving: Notify::new(),
             fetching_config: Cell::new(false),
             started: Instant::now(),
+            callers: CallerResources::new(limits),
             decision_log: RefCell::default(),
             metrics: Metrics::default(),
             past_counts: Cell::default(),
--- /dev/null
+++ b/src/state/caller_limits.rs
@@ -0,0 +1,49 @@
+//! How much of its VM a process gives to callers, so that none of them takes what the process itself needs.
+
+use super::resources::{ByteSize, Mebibytes};
+use derive_more::Display;
+
+/// Memory of a VM unless the settings say otherwise.
+pub const USUAL_MEMORY: Mebibytes = Mebibytes(256);
+/// Number of file descriptors of a process unless the settings say otherwise.
+pub const USUAL_FDS: u64 = 4_096;
+/// Descriptors of a VM that sockets can't use.
+const FILE_DESCRIPTORS: u64 = 200;
+/// Callers' connections get one in this many of the other descriptors; targets, other VMs and the store
+/// share the rest.
+const CONNECTION_SHARE_DIVISOR: u64 = 2;
+/// Memory of a connection: its buffers here and in the kernel, and the state of its request.
+const CONNECTION_BYTES: u64 = 48 << 10;
+/// Callers' connections get one in this many parts of the memory.
+const CONNECTION_MEMORY_DIVISOR: u64 = 4;
+/// What callers may use of a VM.
+///
+/// ```
+/// use cranberrytray::state::{caller_limits::CallerLimits, resources::Mebibytes};
+///
+/// let limits = CallerLimits::of_vm(Mebibytes(256), 4_096);
+/// assert_eq!(limits.connections, 1_365);
+/// ```
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("{connections} connections")]
+pub struct CallerLimits {
+    /// Number of connections.
+    pub connections: usize,
+}
+
+impl Default for CallerLimits {
+    /// Limits of a VM with [`USUAL_MEMORY`] and [`USUAL_FDS`].
+    fn default() -> Self {
+        CallerLimits::of_vm(USUAL_MEMORY, USUAL_FDS)
+    }
+}
+
+impl CallerLimits {
+    /// Limits of a VM with so much memory and so many file descriptors.
+    pub fn of_vm(memory: Mebibytes, fds: u64) -> Self {
+        let memory = ByteSize::from(memory).0;
+        let by_fds = fds.saturating_sub(FILE_DESCRIPTORS) / CONNECTION_SHARE_DIVISOR;
+        let by_memory = memory / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
+        CallerLimits { connections: by_fds.min(by_memory).max(1) as usize }
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! Data structures without I/O: ids, jobs, queues, workers, targets, configuration and limits.
 
+pub mod caller_limits;
 pub mod cold_period;
 pub mod crash_history;
 pub mod evacuation;
--- a/src/state/resources.rs
+++ b/src/state/resources.rs
@@ -25,12 +25,23 @@
     Mebibytes,
     "Mi"
 );
+amount!(
+    /// Memory size, in bytes.
+    ByteSize,
+    "B"
+);
 amount!(
     /// Number of accelerators.
     Accelerators,
     ""
 );
 
+impl From<Mebibytes> for ByteSize {
+    fn from(size: Mebibytes) -> Self {
+        ByteSize(size.0.saturating_mul(1 << 20))
+    }
+}
+
 /// Resources that a task needs or that a target has.
 ///
 /// ```
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,6 +2,7 @@
 //! workers, peers and the platform.
 
 pub mod callers;
+pub mod connections;
 pub mod fleet;
 pub mod health;
 mod heartbeat_timing;
