--- a/src/state/caller_limits.rs
+++ b/src/state/caller_limits.rs
@@ -16,6 +16,8 @@
 const CONNECTION_BYTES: u64 = 48 << 10;
 /// Callers' connections get one in this many parts of the memory.
 const CONNECTION_MEMORY_DIVISOR: u64 = 4;
+/// Bodies of requests get one in this many parts of the memory.
+const BODY_MEMORY_DIVISOR: u64 = 8;
 /// What callers may use of a VM.
 ///
 /// ```
@@ -23,12 +25,15 @@
 ///
 /// let limits = CallerLimits::of_vm(Mebibytes(256), 4_096);
 /// assert_eq!(limits.connections, 1_365);
+/// assert_eq!(limits.body_memory.0, 32 << 20);
 /// ```
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-#[display("{connections} connections")]
+#[display("{connections} connections, {body_memory} for bodies")]
 pub struct CallerLimits {
     /// Number of connections.
     pub connections: usize,
+    /// Memory for bodies of requests, complete or not.
+    pub body_memory: ByteSize,
 }
 
 impl Default for CallerLimits {
@@ -44,6 +49,9 @@
         let memory = ByteSize::from(memory).0;
         let by_fds = fds.saturating_sub(FILE_DESCRIPTORS) / CONNECTION_SHARE_DIVISOR;
         let by_memory = memory / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
-        CallerLimits { connections: by_fds.min(by_memory).max(1) as usize }
+        CallerLimits {
+            connections: by_fds.min(by_memory).max(1) as usize,
+            body_memory: ByteSize(memory / BODY_MEMORY_DIVISOR),
+        }
     }
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,6 +1,7 @@
 //! Network connections: servers for callers, peers, operators and health checks; clients of
 //! workers, peers and the platform.
 
+pub mod body_buffers;
 pub mod callers;
 pub mod connections;
 pub mod fleet;
