Limit the memory of callers' jobs

What callers saw: whole jobs of legal size, with 9,900 tasks and a deadline of 30 s, brought an entry VM to 1,485 MB (the users' measurement, 300 jobs), and ordinary callers got no answer while such a crowd waited, nor after it had left.

Cause: a decoded job takes many times the memory of its body, the entry VM held two or three copies of it for as long as its caller waited, and a dispatcher kept the encoded message, the job and the state of all its tasks. Only the number of a dispatcher's jobs was limited (4,096), and that of deferred ones was not.

Change: an entry VM and a dispatcher each have an eighth of the memory for jobs, and a job counts with what it takes in the end. A job for which there is no room is refused at once with Retry-After 1 s, before anything of it is submitted; a dispatcher answers as unknown what may have run before. Three quarters of the connections may wait for outcomes. An entry VM keeps one copy of a job that waits, and a dispatcher drops the message once it is decoded.

In virtual time tests/dispatch/job_memory shows which jobs are refused, and that resumed and resubmitted ones are answered as unknown.

--- a/src/coordination/dispatch/admission.rs
+++ b/src/coordination/dispatch/admission.rs
@@ -103,12 +103,24 @@
                 self.answer(&[key], submission.id, Outcome::Unknown);
                 return key;
             }
-            let keys = vec![key];
-            let deferred = DeferredSubmission { keys, submission, arrived_at: now, resumed_at };
-            self.deferred.push(deferred);
+            if !self.has_room_for(&submission) {
+                let may_have_run = resumed || self.orphaned_runs.contains_key(&submission.id);
+                self.refuse_for_memory(key, &submission, may_have_run);
+                return key;
+            }
+            self.deferred.push(DeferredSubmission {
+                keys: vec![key],
+                memory: submission.dispatch_memory(),
+                submission,
+                arrived_at: now,
+                resumed_at,
+            });
         } else if !resumed && self.sheds_for_lag() {
             self.shed_for_lag(key, &submission, may_redirect, now);
             return key;
+        } else if !self.has_room_for(&submission) {
+            self.refuse_for_memory(key, &submission, resumed);
+            return key;
         } else {
             let origin = if may_redirect { Origin::Caller } else { Origin::OtherShard };
             self.admit_or_redirect(vec![key], submission, now, origin, now);
@@ -277,6 +289,7 @@
             chains_after.map(|(step, chain)| chain.saturating_sub(run_time(step))).collect();
         let mut job = Job {
             submissions: Vec::new(),
+            memory: submission.dispatch_memory(),
             arrived_at,
             deadline: submission.deadline(arrived_at),
             objective: arrived_at + queue.objective(longest),
--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -6,6 +6,7 @@
     state::{
         fleet_config::Priority,
         job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, RunNumber, Step, TaskId},
+        resources::ByteSize,
         target::TargetId,
         time::{Moment, scale},
     },
@@ -51,6 +52,8 @@
     pub submission: JobSubmission,
     /// Submissions with this job id that wait for the answer.
     pub submissions: Vec<SubmissionKey>,
+    /// Memory that it takes.
+    pub memory: ByteSize,
     /// When it was first submitted to this dispatcher.
     pub arrived_at: Moment,
     /// When its caller stops waiting; see [`JobSubmission::deadline`].
--- a/src/coordination/dispatch/mod.rs
+++ b/src/coordination/dispatch/mod.rs
@@ -16,6 +16,7 @@
 pub mod evacuation;
 pub mod forecast;
 pub mod job;
+pub mod job_memory;
 mod lag;
 pub mod log_event;
 pub mod ownership;
@@ -38,7 +39,8 @@
     job_submission::{CallerJobId, JobSubmission, Outcome, RunNumber, TaskId},
     lag::LagMeter,
     mechanism::{Mechanism, MechanismSet},
-    resources::MilliCores,
+    memory_budget::MemoryBudget,
+    resources::{ByteSize, MilliCores},
     rtt::RttEstimator,
     run_time::RunTimeEstimator,
     shard::Shard,
@@ -153,6 +155,8 @@
     /// Submissions with this job id that wait for the answer, the first one first.
     keys: Vec<SubmissionKey>,
     submission: JobSubmission,
+    /// Memory that the job takes.
+    memory: ByteSize,
     arrived_at: Moment,
     /// When it was last submitted as a job that an earlier dispatcher may have started; `None` if it
     /// never was.
@@ -187,6 +191,8 @@
     closed_runs: run_log::ClosedRuns,
     /// Submissions that wait until earlier runs of their tasks are closed.
     deferred: Vec<DeferredSubmission>,
+    /// Memory for open jobs.
+    job_memory: MemoryBudget,
     submitters: Submitters,
     remote_shards: IndexMap<Shard, RemoteShard>,
     evacuations: Evacuations,
@@ -241,6 +247,7 @@
             orphaned_runs: IndexMap::new(),
             closed_runs: run_log::ClosedRuns::default(),
             deferred: Vec::new(),
+            job_memory: MemoryBudget::new(job_memory::DEFAULT_JOB_MEMORY),
             submitters: Submitters::new(now),
             remote_shards: IndexMap::new(),
             evacuations: Evacuations::default(),
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -121,6 +121,7 @@
             now,
         );
         core.disable(self.disabled);
+        core.limit_job_memory(self.callers.limits.job_memory);
         core.set_crash_history(self.crash_history.take());
         core.set_evacuated_zones(self.evacuations.borrow().zones(), now);
         let predecessor_has_targets = !kept.is_empty();
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -36,6 +36,8 @@
 const NO_DISPATCHER: Outcome =
     Outcome::NotRun { refusal: Refusal::NoDispatcher, retry_after: NO_DISPATCHER_RETRY };
 
+/// Retry delay of a job for which this VM has no memory.
+const NO_MEMORY_RETRY: Duration = Duration::from_secs(1);
 /// A stopping process answers its last jobs this long before it exits.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// Interval at which a job checks whether its zone has a dispatcher.
@@ -160,10 +162,15 @@
         let begun = Instant::now();
         let id = submission.id;
         let mut caller = CallerGuard { node: Rc::clone(self), id, begun, is_answered: false };
-        let answered = tokio::select! {
-            answered = self.submit_until_answered(submission, begun) => answered,
-            // Tasks may have run, and the caller would get no answer otherwise.
-            () = self.about_to_exit() => Err(UnknownCause::Exit),
+        let answered = match self.callers.reserve(&submission) {
+            Some(_reservation) => tokio::select! {
+                answered = self.submit_until_answered(submission, begun) => answered,
+                // Tasks may have run, and the caller would get no answer otherwise.
+                () = self.about_to_exit() => Err(UnknownCause::Exit),
+            },
+            None => {
+                Ok(Outcome::NotRun { refusal: Refusal::QueueFull, retry_after: NO_MEMORY_RETRY })
+            }
         };
         caller.is_answered = true;
         let answered = match answered {
@@ -206,7 +213,7 @@
     /// in a way that permits another attempt.
     async fn submit_until_answered(
         self: &Rc<Self>,
-        submission: JobSubmission,
+        mut submission: JobSubmission,
         begun: Instant,
     ) -> Result<Outcome, UnknownCause> {
         let time_to_deadline =
@@ -215,20 +222,18 @@
         let mut options = DispatchOptions { may_redirect: true, resumed: false, shard_count };
         let mut search = DispatcherSearch { begun, deadline: begun + time_to_deadline };
         loop {
-            let time_to_deadline = search.time_to_deadline();
-            let remaining = JobSubmission { time_to_deadline, ..submission.clone() };
-            let can_resubmit =
-                time_to_deadline > MIN_TIME_TO_RESUBMIT && search.elapsed() < MAX_DISPATCHER_SEARCH;
-            match self.submit_once(&remaining, options).await {
+            submission.time_to_deadline = search.time_to_deadline();
+            let can_resubmit = submission.time_to_deadline > MIN_TIME_TO_RESUBMIT
+                && search.elapsed() < MAX_DISPATCHER_SEARCH;
+            match self.submit_once(&submission, options).await {
                 Ok(DispatchReply::Redirected(to)) => {
                     self.metrics.redirected();
                     // A job that waited in a zone which was then evacuated has less time left.
-                    let time_to_deadline = search.time_to_deadline();
-                    let remaining = JobSubmission { time_to_deadline, ..remaining };
-                    match self.submit_to(to, &remaining).await? {
+                    submission.time_to_deadline = search.time_to_deadline();
+                    match self.submit_to(to, &submission).await? {
                         // Nothing of the job ran in the other zone, so this zone may still run it.
                         Outcome::NotRun { .. }
-                            if time_to_deadline > MIN_TIME_TO_RESUBMIT
+                            if submission.time_to_deadline > MIN_TIME_TO_RESUBMIT
                                 && self.enables(Mechanism::RedirectFallback) =>
                         {
                             options.may_redirect = false;
--- a/src/state/caller_limits.rs
+++ b/src/state/caller_limits.rs
@@ -18,6 +18,13 @@
 const CONNECTION_MEMORY_DIVISOR: u64 = 4;
 /// Bodies of requests get one in this many parts of the memory.
 const BODY_MEMORY_DIVISOR: u64 = 8;
+/// The jobs of this VM's callers, and those of its shard if it is a dispatcher, each get one in this many
+/// parts of the memory.
+const JOB_MEMORY_DIVISOR: u64 = 8;
+/// Requests that wait for the outcomes of their jobs get this share of the connections, in percent; the
+/// others can be closed for new ones.
+const REQUEST_PERCENT: usize = 75;
+
 /// What callers may use of a VM.
 ///
 /// ```
@@ -25,15 +32,18 @@
 ///
 /// let limits = CallerLimits::of_vm(Mebibytes(256), 4_096);
 /// assert_eq!(limits.connections, 1_365);
+/// assert_eq!(limits.requests(), 1_023);
 /// assert_eq!(limits.body_memory.0, 32 << 20);
 /// ```
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-#[display("{connections} connections, {body_memory} for bodies")]
+#[display("{connections} connections, {body_memory} for bodies, {job_memory} for jobs")]
 pub struct CallerLimits {
     /// Number of connections.
     pub connections: usize,
     /// Memory for bodies of requests, complete or not.
     pub body_memory: ByteSize,
+    /// Memory for the jobs of this VM's callers; a dispatcher may use as much for the jobs of its shard.
+    pub job_memory: ByteSize,
 }
 
 impl Default for CallerLimits {
@@ -52,6 +62,12 @@
         CallerLimits {
             connections: by_fds.min(by_memory).max(1) as usize,
             body_memory: ByteSize(memory / BODY_MEMORY_DIVISOR),
+            job_memory: ByteSize(memory / JOB_MEMORY_DIVISOR),
         }
     }
+
+    /// Number of requests that may wait for the outcomes of their jobs at the same time.
+    pub fn requests(self) -> usize {
+        (self.connections * REQUEST_PERCENT / 100).max(1)
+    }
 }
--- a/src/state/job_submission.rs
+++ b/src/state/job_submission.rs
@@ -2,7 +2,7 @@
 
 use super::{
     fleet_config::{Label, QueueName},
-    resources::{MilliCores, Resources},
+    resources::{ByteSize, MilliCores, Resources},
     time::Moment,
 };
 use derive_more::{Display, Error};
@@ -139,6 +139,11 @@
 /// short, and a successor has to reckon with runs that its predecessor started so long ago.
 pub const MAX_TIME_TO_DEADLINE: Duration = Duration::from_secs(60);
 
+/// Memory that a dispatcher uses for the state of a task that is not done, in bytes.
+const TASK_BYTES: u64 = 256;
+/// Memory that a text of its own takes in addition to its characters, in bytes.
+const TEXT_BYTES: u64 = 32;
+
 /// A job as submitted by its caller.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSubmission {
@@ -161,6 +166,25 @@
         arrived_at + self.time_to_deadline.min(MAX_TIME_TO_DEADLINE)
     }
 
+    /// Memory that the job takes until it ends, without the state of its tasks.
+    pub fn memory(&self) -> ByteSize {
+        let text = |label: &Option<Label>| {
+            label.as_ref().map_or(0, |label| label.0.len() as u64 + TEXT_BYTES)
+        };
+        let step = |step: &Step| {
+            let numbers = size_of_val(step.after.as_slice()) as u64;
+            size_of::<Step>() as u64 + numbers + text(&step.required) + text(&step.near)
+        };
+        let steps: u64 = self.steps.iter().map(step).sum();
+        ByteSize(size_of::<Self>() as u64 + self.spec.len() as u64 + TEXT_BYTES + steps)
+    }
+
+    /// Memory that the job takes at a dispatcher, with the state of all its tasks.
+    pub fn dispatch_memory(&self) -> ByteSize {
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        self.memory() + ByteSize(tasks.saturating_mul(TASK_BYTES))
+    }
+
     /// CPU that all tasks take together, or the largest amount if it is more.
     pub fn total_cpu(&self) -> MilliCores {
         let cpu = |step: &Step| step.needs.cpu.0.saturating_mul(step.count.into());
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -13,6 +13,7 @@
 pub mod ledger;
 pub mod loan;
 pub mod mechanism;
+pub mod memory_budget;
 pub mod message_counts;
 pub mod outlier;
 pub mod policy;
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -193,13 +193,16 @@
         params: peer::RunParams,
         mut results: peer::RunResults,
     ) -> Result<(), capnp::Error> {
-        let params = params.get()?;
-        let options = DispatchOptions {
-            may_redirect: params.get_may_pass(),
-            resumed: params.get_resumed(),
-            shard_count: ShardCount::from_wire(params.get_shard_count()),
+        let (mut job, options) = {
+            let params = params.get()?;
+            let options = DispatchOptions {
+                may_redirect: params.get_may_pass(),
+                resumed: params.get_resumed(),
+                shard_count: ShardCount::from_wire(params.get_shard_count()),
+            };
+            (read_job_submission(params.get_work()?)?, options)
         };
-        let mut job = read_job_submission(params.get_work()?)?;
+        drop(params); // The message takes as much memory as the job.
         let guard = ReceivedJobGuard::new(&self, job.id, options);
         let silent_for = self.silent_for();
         if silent_for >= self.handler.unresponsive_timeout() {
--- a/tests/dispatch/main.rs
+++ b/tests/dispatch/main.rs
@@ -8,6 +8,7 @@
 mod fake_target;
 mod faulty_targets;
 mod fixtures;
+mod job_memory;
 mod large_jobs;
 mod late_orders;
 mod load;
