Limit what callers of cranberrytrayd hold with unfinished requests

What callers saw: a few callers that stopped short of the end of their bodies took all requests that may be served (`limits.max_requests`), so that every other one was answered as overloaded until `body_timeout_ms`; 64 of them with bodies just below 4 MiB took 265 MB.

Cause: a request counted as served while its body was read, bodies had no common limit, the number of connections none at all, and idle connections were closed by the timer for heads.

Change: the limits of the users' platform's server, `transport::connections` and `transport::body_buffers`. Settings: `limits.max_connections` (twice `max_requests`), `limits.max_body_memory_bytes` (64 MiB, complete bodies included), `limits.idle_timeout_ms` (60 s). A request counts as served once its body is there.

Ruled out: the memory of decoded jobs, which the settings of the queue bound already.

--- a/src/config.rs
+++ b/src/config.rs
@@ -336,6 +336,10 @@
         check.range("limits.header_timeout_ms", limits.header_timeout_ms, 100, 600_000)?;
         check.range("limits.body_timeout_ms", limits.body_timeout_ms, 100, 600_000)?;
         check.range("limits.max_header_bytes", limits.max_header_bytes as u64, 8_192, 1 << 20)?;
+        check.range("limits.max_connections", limits.max_connections() as u64, 1, 2_000_000)?;
+        let body_memory = limits.max_body_memory_bytes as u64;
+        check.range("limits.max_body_memory_bytes", body_memory, 1_024, 1 << 40)?;
+        check.range("limits.idle_timeout_ms", limits.idle_timeout_ms, 100, 3_600_000)?;
         check.range("limits.max_deadline_ms", limits.max_deadline_ms, 1, 3_600_000)
     }
 
--- a/src/protocol/callers.rs
+++ b/src/protocol/callers.rs
@@ -51,6 +51,22 @@
     pub body_timeout_ms: u64,
     /// Maximum size of a request header, in bytes.
     pub max_header_bytes: usize,
+    /// Maximum number of callers' connections; `None` for twice [`Limits::max_requests`]. A further one takes
+    /// the place of the one that has waited longest for its caller.
+    pub max_connections: Option<usize>,
+    /// Memory for the bodies of all requests, in bytes. When it is used up, incomplete bodies are rejected,
+    /// the one that was begun first before the others.
+    pub max_body_memory_bytes: usize,
+    /// Timeout for the next request on a connection, for more of a body, and for a caller that reads its
+    /// response, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Limits {
+    /// Returns the maximum number of callers' connections.
+    pub fn max_connections(&self) -> usize {
+        self.max_connections.unwrap_or(self.max_requests.saturating_mul(2))
+    }
 }
 
 impl Default for Limits {
@@ -64,6 +80,9 @@
             header_timeout_ms: 10_000,
             body_timeout_ms: 30_000,
             max_header_bytes: 16_384,
+            max_connections: None,
+            max_body_memory_bytes: 64 << 20,
+            idle_timeout_ms: 60_000,
         }
     }
 }
@@ -119,7 +138,8 @@
     #[display("nothing was submitted under this id")]
     #[from(skip)]
     NotSubmitted,
-    /// As many requests as [`Limits::max_requests`] allows are being served.
+    /// As many requests as [`Limits::max_requests`] allows are being served, or their bodies take as much
+    /// memory as [`Limits::max_body_memory_bytes`] allows.
     #[display("too many requests at the same time")]
     #[from(skip)]
     Overloaded,
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -1,7 +1,9 @@
 //! HTTP server for callers.
 
 use super::{
-    http::{HttpError, json_response, read_body},
+    body_buffers::{BodyBuffers, BodyError, RequestBody},
+    connections::{Connection, ConnectionTimeouts, Connections, Stage, TrackedStream},
+    http::json_response,
     load_shed::{LoadShedLayer, OverloadResponse},
 };
 use crate::{
@@ -14,19 +16,18 @@
 };
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, Response, body::Incoming, server::conn::http1};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
-    service::TowerToHyperService,
+use hyper::{
+    Method, Request, Response, body::Incoming, http::request::Parts, server::conn::http1,
+    service::service_fn as hyper_service_fn,
 };
+use hyper_util::{rt::TokioIo, server::graceful::GracefulShutdown};
 use std::{convert::Infallible, sync::Arc, time::Duration};
 use tokio::{
     net::TcpListener,
     sync::oneshot,
     time::{sleep, timeout},
 };
-use tower::{Layer, service_fn};
+use tower::{Layer, ServiceExt, service_fn};
 
 type CallerResponse = Response<Full<Bytes>>;
 
@@ -40,20 +41,34 @@
     json_response(reply.status, reply.retry_after, reply.body)
 }
 
+/// A request whose body was read in full.
+struct CompleteRequest {
+    head: Parts,
+    body: RequestBody,
+}
+
 /// Serves callers until `shutdown` receives the time that requests in flight may still take.
 pub async fn serve(
     daemon: Arc<Daemon>,
     listener: TcpListener,
     mut shutdown: oneshot::Receiver<Duration>,
 ) {
-    let load_shed = LoadShedLayer::new(daemon.settings.limits.max_requests);
-    let graceful = GracefulShutdown::new();
     let limits = daemon.settings.limits.clone();
+    let load_shed = LoadShedLayer::new(limits.max_requests);
+    let graceful = GracefulShutdown::new();
+    let connections = Connections::new(limits.max_connections());
+    let bodies = BodyBuffers::new(limits.max_body_memory_bytes);
+    let timeouts = ConnectionTimeouts {
+        idle: Duration::from_millis(limits.idle_timeout_ms),
+        head: Duration::from_millis(limits.header_timeout_ms),
+    };
     let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
-        .max_buf_size(limits.max_header_bytes);
+    // Timeouts are those of `Connections`.
+    builder.header_read_timeout(None).max_buf_size(limits.max_header_bytes);
+    let sweeps = tokio::spawn({
+        let connections = Arc::clone(&connections);
+        async move { connections.close_stalled(|| timeouts).await }
+    });
     let grace = loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -64,30 +79,80 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let daemon = Arc::clone(&daemon);
-        let service = service_fn(move |req: Request<Incoming>| {
+        let guard = tokio::select! {
+            guard = connections.add() => guard,
+            grace = &mut shutdown => break grace.unwrap_or_default(),
+        };
+        let caller = Arc::clone(&guard.connection);
+        let (daemon, bodies) = (Arc::clone(&daemon), Arc::clone(&bodies));
+        let service = load_shed.layer(service_fn(move |req: CompleteRequest| {
             let daemon = Arc::clone(&daemon);
             Box::pin(async move {
                 Ok::<_, Infallible>(into_response(handle_request(&daemon, req).await))
             })
+        }));
+        let stream = TrackedStream::new(stream, Arc::clone(&caller));
+        let limits = limits.clone();
+        let service = hyper_service_fn(move |req: Request<Incoming>| {
+            let (bodies, caller) = (Arc::clone(&bodies), Arc::clone(&caller));
+            let (service, limits) = (service.clone(), limits.clone());
+            async move {
+                let res = match read_request(req, &bodies, &limits, &caller).await {
+                    Ok(req) => service.oneshot(req).await?,
+                    Err(e) => into_response(Reply::error(&e)),
+                };
+                caller.enter(Stage::Response);
+                Ok::<_, Infallible>(res)
+            }
+        });
+        let connection = graceful.watch(builder.serve_connection(TokioIo::new(stream), service));
+        tokio::spawn(async move {
+            tokio::select! {
+                biased;
+                _ = connection => {}
+                () = guard.connection.closing() => {}
+            }
         });
-        let service = TowerToHyperService::new(load_shed.layer(service));
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(graceful.watch(connection));
     };
     drop(listener);
     let _ = timeout(grace, graceful.shutdown()).await;
+    sweeps.abort();
 }
 
-async fn handle_request(daemon: &Arc<Daemon>, req: Request<Incoming>) -> Reply {
+/// Reads the body of a request. Until then the request doesn't count as one that is served.
+async fn read_request(
+    req: Request<Incoming>,
+    bodies: &Arc<BodyBuffers>,
+    limits: &Limits,
+    caller: &Connection,
+) -> Result<CompleteRequest, CallerError> {
+    caller.enter(Stage::Body);
+    let (head, body) = req.into_parts();
+    let time_limit = Duration::from_millis(limits.body_timeout_ms);
+    let body = bodies.read(body, limits.max_body_bytes, time_limit).await?;
+    caller.enter(Stage::Service);
+    Ok(CompleteRequest { head, body })
+}
+
+impl From<BodyError> for CallerError {
+    fn from(e: BodyError) -> Self {
+        match e {
+            BodyError::TooLarge { limit } => CallerError::TooLarge { limit },
+            BodyError::NoMemory => CallerError::Overloaded,
+            BodyError::Timeout { .. } | BodyError::Connection(_) => CallerError::BodyTimeout,
+        }
+    }
+}
+
+async fn handle_request(daemon: &Arc<Daemon>, req: CompleteRequest) -> Reply {
     let routed = route(daemon, req).await;
     routed.unwrap_or_else(|e| Reply::error(&e))
 }
 
-async fn route(daemon: &Arc<Daemon>, req: Request<Incoming>) -> Result<Reply, CallerError> {
-    let path = req.uri().path().to_owned();
+async fn route(daemon: &Arc<Daemon>, req: CompleteRequest) -> Result<Reply, CallerError> {
+    let path = req.head.uri.path().to_owned();
     if path == "/v1/tickets" {
-        return match *req.method() {
+        return match req.head.method {
             Method::POST => issue_tickets(daemon, req).await,
             _ => Err(CallerError::MethodNotAllowed),
         };
@@ -96,7 +161,7 @@
         return Err(CallerError::NotFound);
     };
     let id: JobId = id.parse()?;
-    match *req.method() {
+    match req.head.method {
         Method::PUT => submit(daemon, id, req).await,
         Method::GET => {
             let wait = parse_wait(&req, &daemon.settings.limits)?.unwrap_or_default();
@@ -111,10 +176,9 @@
     }
 }
 
-async fn issue_tickets(daemon: &Arc<Daemon>, req: Request<Incoming>) -> Result<Reply, CallerError> {
+async fn issue_tickets(daemon: &Arc<Daemon>, req: CompleteRequest) -> Result<Reply, CallerError> {
     let limits = &daemon.settings.limits;
-    let body = read_request_body(req, limits).await?;
-    let TicketsRequest { count } = parse(&body)?;
+    let TicketsRequest { count } = parse(&req.body)?;
     if count == 0 || count > limits.max_tickets {
         let message = format!("must be 1 to {}", limits.max_tickets);
         return Err(CallerError::Malformed { field: "count".to_owned(), message });
@@ -130,31 +194,21 @@
 async fn submit(
     daemon: &Arc<Daemon>,
     id: JobId,
-    req: Request<Incoming>,
+    req: CompleteRequest,
 ) -> Result<Reply, CallerError> {
     let limits = &daemon.settings.limits;
     let wait = parse_wait(&req, limits)?;
-    let body = read_request_body(req, limits).await?;
     // The issuer parses the job again; parsing it here rejects a malformed one before it is
     // forwarded.
-    let spec = parse_job(&body, limits)?;
+    let spec = parse_job(&req.body, limits)?;
     let wait = wait.unwrap_or(spec.deadline()).min(spec.deadline());
+    let (body, _reservation) = req.body.into_parts();
     Ok(daemon.serve(JobRequest { id, verb: Verb::Submit, wait, body }).await)
 }
 
-async fn read_request_body(req: Request<Incoming>, limits: &Limits) -> Result<Bytes, CallerError> {
-    let limit = limits.max_body_bytes;
-    let reading = read_body(req.into_body(), limit);
-    match timeout(Duration::from_millis(limits.body_timeout_ms), reading).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(HttpError::TooLarge { .. })) => Err(CallerError::TooLarge { limit }),
-        _ => Err(CallerError::BodyTimeout),
-    }
-}
-
 /// Parses the `wait_ms` query parameter, limited to the longest deadline.
-fn parse_wait(req: &Request<Incoming>, limits: &Limits) -> Result<Option<Duration>, CallerError> {
-    let query = req.uri().query().unwrap_or_default();
+fn parse_wait(req: &CompleteRequest, limits: &Limits) -> Result<Option<Duration>, CallerError> {
+    let query = req.head.uri.query().unwrap_or_default();
     let Some(text) = query.split('&').find_map(|pair| pair.strip_prefix("wait_ms=")) else {
         return Ok(None);
     };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -83,6 +83,10 @@
         self.child.wait().expect("the process is a child of this one");
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn suspend(&self) {
         self.signal(Signal::SIGSTOP);
     }
