Split the server of cranberrytrayd's callers

Read as a newcomer would: `serve` had grown to seventy lines with the accept loop, the services and the shutdown in one. What connections share is a struct now; no behaviour changes.

Tests of callers, misbehaving callers, the whole path and resubmission pass.

--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -2,7 +2,9 @@
 
 use super::{
     body_buffers::{BodyBuffers, BodyError, RequestBody},
-    connections::{Connection, ConnectionTimeouts, Connections, Stage, TrackedStream},
+    connections::{
+        Connection, ConnectionGuard, ConnectionTimeouts, Connections, Stage, TrackedStream,
+    },
     http::json_response,
     load_shed::{LoadShedLayer, OverloadResponse},
 };
@@ -23,7 +25,7 @@
 use hyper_util::{rt::TokioIo, server::graceful::GracefulShutdown};
 use std::{convert::Infallible, sync::Arc, time::Duration};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     sync::oneshot,
     time::{sleep, timeout},
 };
@@ -47,65 +49,86 @@
     body: RequestBody,
 }
 
+/// What the connections of callers share.
+struct Server {
+    daemon: Arc<Daemon>,
+    load_shed: LoadShedLayer,
+    bodies: Arc<BodyBuffers>,
+    connections: Arc<Connections>,
+    graceful: GracefulShutdown,
+}
+
 /// Serves callers until `shutdown` receives the time that requests in flight may still take.
 pub async fn serve(
     daemon: Arc<Daemon>,
     listener: TcpListener,
     mut shutdown: oneshot::Receiver<Duration>,
 ) {
-    let limits = daemon.settings.limits.clone();
-    let load_shed = LoadShedLayer::new(limits.max_requests);
-    let graceful = GracefulShutdown::new();
-    let connections = Connections::new(limits.max_connections());
-    let bodies = BodyBuffers::new(limits.max_body_memory_bytes);
+    let limits = &daemon.settings.limits;
     let timeouts = ConnectionTimeouts {
         idle: Duration::from_millis(limits.idle_timeout_ms),
         head: Duration::from_millis(limits.header_timeout_ms),
     };
-    let mut builder = http1::Builder::new();
-    // Timeouts are those of `Connections`.
-    builder.header_read_timeout(None).max_buf_size(limits.max_header_bytes);
-    let sweeps = tokio::spawn({
-        let connections = Arc::clone(&connections);
-        async move { connections.close_stalled(|| timeouts).await }
-    });
-    let grace = loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            grace = &mut shutdown => break grace.unwrap_or_default(),
-        };
-        let Ok((stream, _)) = accepted else {
-            sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        let guard = tokio::select! {
-            guard = connections.add() => guard,
-            grace = &mut shutdown => break grace.unwrap_or_default(),
-        };
+    let server = Server {
+        load_shed: LoadShedLayer::new(limits.max_requests),
+        bodies: BodyBuffers::new(limits.max_body_memory_bytes),
+        connections: Connections::new(limits.max_connections()),
+        graceful: GracefulShutdown::new(),
+        daemon: Arc::clone(&daemon),
+    };
+    let connections = Arc::clone(&server.connections);
+    let sweeps = tokio::spawn(async move { connections.close_stalled(|| timeouts).await });
+    let grace = tokio::select! {
+        () = server.accept(&listener) => Duration::ZERO,
+        grace = &mut shutdown => grace.unwrap_or_default(),
+    };
+    drop(listener);
+    let _ = timeout(grace, server.graceful.shutdown()).await;
+    sweeps.abort();
+}
+
+impl Server {
+    /// Accepts and serves connections; never returns.
+    async fn accept(&self, listener: &TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            let guard = self.connections.add().await;
+            self.spawn_connection(stream, guard);
+        }
+    }
+
+    fn spawn_connection(&self, stream: TcpStream, guard: ConnectionGuard) {
         let caller = Arc::clone(&guard.connection);
-        let (daemon, bodies) = (Arc::clone(&daemon), Arc::clone(&bodies));
-        let service = load_shed.layer(service_fn(move |req: CompleteRequest| {
+        let (daemon, bodies) = (Arc::clone(&self.daemon), Arc::clone(&self.bodies));
+        let complete = self.load_shed.layer(service_fn(move |req: CompleteRequest| {
             let daemon = Arc::clone(&daemon);
             Box::pin(async move {
                 Ok::<_, Infallible>(into_response(handle_request(&daemon, req).await))
             })
         }));
+        let limits = self.daemon.settings.limits.clone();
         let stream = TrackedStream::new(stream, Arc::clone(&caller));
-        let limits = limits.clone();
+        let mut builder = http1::Builder::new();
+        // Timeouts are those of `Connections`.
+        builder.header_read_timeout(None).max_buf_size(limits.max_header_bytes);
         let service = hyper_service_fn(move |req: Request<Incoming>| {
             let (bodies, caller) = (Arc::clone(&bodies), Arc::clone(&caller));
-            let (service, limits) = (service.clone(), limits.clone());
+            let (complete, limits) = (complete.clone(), limits.clone());
             async move {
                 let res = match read_request(req, &bodies, &limits, &caller).await {
-                    Ok(req) => service.oneshot(req).await?,
+                    Ok(req) => complete.oneshot(req).await?,
                     Err(e) => into_response(Reply::error(&e)),
                 };
                 caller.enter(Stage::Response);
                 Ok::<_, Infallible>(res)
             }
         });
-        let connection = graceful.watch(builder.serve_connection(TokioIo::new(stream), service));
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let connection = self.graceful.watch(connection);
         tokio::spawn(async move {
             tokio::select! {
                 biased;
@@ -113,10 +136,7 @@
                 () = guard.connection.closing() => {}
             }
         });
-    };
-    drop(listener);
-    let _ = timeout(grace, graceful.shutdown()).await;
-    sweeps.abort();
+    }
 }
 
 /// Reads the body of a request. Until then the request doesn't count as one that is served.
