--- a/src/coordination/dispatch/counts.rs
+++ b/src/coordination/dispatch/counts.rs
@@ -22,6 +22,8 @@
     pub unknown: u64,
     /// Start requests sent, repeated ones included.
     pub starts: u64,
+    /// Passes over the queue that ended because too many start requests had no answer.
+    pub held_passes: u64,
     /// Start requests refused because the task didn't fit on the target.
     pub capacity_refusals: u64,
     /// Stop requests sent, repeated ones included.
--- a/src/coordination/dispatch/placement.rs
+++ b/src/coordination/dispatch/placement.rs
@@ -88,6 +88,7 @@
         let mut blocked_jobs = 0;
         for key in keys {
             if plan.starts_left == 0 {
+                self.counts.held_passes += 1;
                 return;
             }
             if blocked_jobs >= MAX_BLOCKED_JOBS
--- a/src/daemon/metrics.rs
+++ b/src/daemon/metrics.rs
@@ -22,6 +22,7 @@
         let gauges = self.core.gauges(self.now());
         register_gauges(&mut registry, self, &gauges);
         register_totals(&mut registry, &gauges);
+        register_callers(&mut registry, self);
         let mut text = String::new();
         encode(&mut text, &registry)?;
         Ok(text)
@@ -70,3 +71,34 @@
         registry.register(name, help, ConstCounter::new(value));
     }
 }
+
+fn register_callers(registry: &mut Registry, daemon: &Daemon) {
+    let (connections, bodies) = (&daemon.connections, &daemon.bodies);
+    let gauges = [
+        ("caller_connections", "Open connections of callers", connections.len() as u64),
+        ("body_bytes", "Memory of requests' bodies, in bytes", bodies.used() as u64),
+    ];
+    for (name, help, value) in gauges {
+        registry.register(name, help, ConstGauge::new(value as i64));
+    }
+    let counters = [
+        (
+            "stalled_connections",
+            "Connections closed because their callers made no progress",
+            connections.stalled(),
+        ),
+        (
+            "displaced_connections",
+            "Connections displaced by new ones, as there were too many",
+            connections.displaced(),
+        ),
+        (
+            "displaced_bodies",
+            "Bodies displaced by new ones, as they took too much memory",
+            bodies.displaced(),
+        ),
+    ];
+    for (name, help, value) in counters {
+        registry.register(name, help, ConstCounter::new(value));
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -20,6 +20,8 @@
         time::Moment,
     },
     transport::{
+        body_buffers::BodyBuffers,
+        connections::Connections,
         peers::{PeerCallReceiver, PeerClient},
         platform::AnyPlatform,
         workers::WorkerClient,
@@ -64,6 +66,10 @@
     pub core: Core,
     /// Latest events of this process.
     pub timeline: Timeline,
+    /// Connections of callers.
+    pub connections: Arc<Connections>,
+    /// Bodies of callers' requests.
+    pub bodies: Arc<BodyBuffers>,
     worker_links: WorkerClient,
     peer_links: PeerClient,
     platform: AnyPlatform,
@@ -95,6 +101,8 @@
         let daemon = Daemon {
             core: Core::new(issuer, TagKey(rng.random()), settings.policy.clone(), rng.random()),
             timeline: Timeline::new(settings.timeline_events),
+            connections: Connections::new(settings.limits.max_connections()),
+            bodies: BodyBuffers::new(settings.limits.max_body_memory_bytes),
             worker_links: WorkerClient::new(settings.policy.connections_per_worker),
             peer_links,
             platform: AnyPlatform::new(&settings.vm, &settings.platform),
--- a/src/fleet/callers.rs
+++ b/src/fleet/callers.rs
@@ -20,6 +20,14 @@
 /// state of this VM's own.
 const JOB_COPIES: u64 = 2;
 
+/// How often the limits on callers were met.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CrowdCounts {
+    connections: u64,
+    bodies: u64,
+    requests: u64,
+}
+
 /// What the callers of a VM use of it, and how much they may.
 #[derive(Debug)]
 pub struct CallerResources {
@@ -69,6 +77,25 @@
         reservation
     }
 
+    /// Logs how often the limits were met since `last`, which it updates; nothing if they were not.
+    pub fn log_crowd(&self, last: &mut CrowdCounts) {
+        let now = CrowdCounts {
+            connections: self.connections.displaced(),
+            bodies: self.bodies.displaced(),
+            requests: self.refused.get(),
+        };
+        let before = std::mem::replace(last, now);
+        if now != before {
+            log::warn!(
+                "front: limits on callers met: {} connections and {} bodies displaced, {} requests \
+                 refused",
+                now.connections - before.connections,
+                now.bodies - before.bodies,
+                now.requests - before.requests
+            );
+        }
+    }
+
     /// Counts a request that is refused for those of other callers.
     pub fn count_refusal(&self) {
         self.refused.set(self.refused.get() + 1);
@@ -120,12 +147,12 @@
             ),
             (
                 "displaced_connections",
-                "Connections closed for new ones, as there were too many",
+                "Connections displaced by new ones, as there were too many",
                 connections.displaced(),
             ),
             (
                 "displaced_bodies",
-                "Bodies given up for new ones, as they took too much memory",
+                "Bodies displaced by new ones, as they took too much memory",
                 bodies.displaced(),
             ),
             (
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -233,6 +233,11 @@
         ("dispatch_completed", "Jobs completed", counts.completed),
         ("dispatch_unknown", "Jobs given up that may have run", counts.unknown),
         ("starts", "Starts sent", counts.starts),
+        (
+            "held_passes",
+            "Passes over the queue ended because too many starts had no answer",
+            counts.held_passes,
+        ),
         ("starts_refused_for_room", "Starts refused for want of room", counts.capacity_refusals),
         ("stops", "Stops sent", counts.stops),
         ("failed_runs", "Runs that failed", counts.failed_runs),
--- a/src/transport/body_buffers.rs
+++ b/src/transport/body_buffers.rs
@@ -1,7 +1,7 @@
 //! Bodies of requests, read into memory that all of them share.
 //!
 //! A body whose sender stops short of its end would keep its memory for as long as the sender likes. So
-//! when there is no memory left, the body that was begun first is given up for those that came after it.
+//! when there is no memory left, the body that was begun first is displaced by those that came after it.
 
 use bytes::Bytes;
 use derive_more::{Deref, Display, Error, From};
@@ -44,8 +44,8 @@
 #[derive(Debug)]
 struct Partial {
     data: Vec<u8>,
-    /// Notified when the body is given up.
-    given_up: Arc<Notify>,
+    /// Notified when the body is displaced.
+    displaced_notify: Arc<Notify>,
 }
 
 #[derive(Debug, Default)]
@@ -55,12 +55,12 @@
     /// Incomplete bodies in the order in which they were begun.
     partial: BTreeMap<u64, Partial>,
     last_id: u64,
-    /// Number of bodies given up for others.
+    /// Number of bodies displaced.
     displaced: u64,
 }
 
 impl State {
-    /// Gives up bodies other than `id` until `more` bytes can be added. Returns false if too few are left.
+    /// Displaces bodies other than `id` until `more` bytes can be added. Returns false if too few are left.
     fn make_room(&mut self, id: u64, more: usize, limit: usize) -> bool {
         let own = self.partial.get(&id).map_or(0, |body| body.data.capacity());
         while self.used + more > limit {
@@ -71,7 +71,7 @@
             };
             self.used -= body.data.capacity();
             self.displaced += 1;
-            body.given_up.notify_one();
+            body.displaced_notify.notify_one();
         }
         true
     }
@@ -113,7 +113,7 @@
         self.state.lock().used
     }
 
-    /// Number of bodies given up so far for others.
+    /// Number of bodies displaced so far.
     pub fn displaced(&self) -> u64 {
         self.state.lock().displaced
     }
@@ -143,12 +143,15 @@
     }
 
     fn begin(self: &Arc<Self>) -> Buffer {
-        let given_up = Arc::new(Notify::new());
+        let displaced_notify = Arc::new(Notify::new());
         let mut state = self.state.lock();
         state.last_id += 1;
         let id = state.last_id;
-        state.partial.insert(id, Partial { data: Vec::new(), given_up: Arc::clone(&given_up) });
-        Buffer { buffers: Arc::clone(self), id, given_up }
+        state.partial.insert(
+            id,
+            Partial { data: Vec::new(), displaced_notify: Arc::clone(&displaced_notify) },
+        );
+        Buffer { buffers: Arc::clone(self), id, displaced_notify }
     }
 }
 
@@ -157,7 +160,7 @@
 struct Buffer {
     buffers: Arc<BodyBuffers>,
     id: u64,
-    given_up: Arc<Notify>,
+    displaced_notify: Arc<Notify>,
 }
 
 impl Buffer {
@@ -166,7 +169,7 @@
         loop {
             let frame = tokio::select! {
                 biased;
-                () = self.given_up.notified() => return Err(BodyError::NoMemory),
+                () = self.displaced_notify.notified() => return Err(BodyError::NoMemory),
                 frame = body.frame() => frame,
             };
             let Some(frame) = frame else { return Ok(()) };
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -2,9 +2,7 @@
 
 use super::{
     body_buffers::{BodyBuffers, BodyError, RequestBody},
-    connections::{
-        Connection, ConnectionGuard, ConnectionTimeouts, Connections, Stage, TrackedStream,
-    },
+    connections::{Connection, ConnectionGuard, ConnectionTimeouts, Stage, TrackedStream},
     http::json_response,
     load_shed::{LoadShedLayer, OverloadResponse},
 };
@@ -31,6 +29,9 @@
 };
 use tower::{Layer, ServiceExt, service_fn};
 
+/// Interval of log lines on callers that meet the limits.
+const CROWD_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 type CallerResponse = Response<Full<Bytes>>;
 
 impl OverloadResponse<CallerResponse> for CallerResponse {
@@ -53,8 +54,6 @@
 struct Server {
     daemon: Arc<Daemon>,
     load_shed: LoadShedLayer,
-    bodies: Arc<BodyBuffers>,
-    connections: Arc<Connections>,
     graceful: GracefulShutdown,
 }
 
@@ -71,13 +70,12 @@
     };
     let server = Server {
         load_shed: LoadShedLayer::new(limits.max_requests),
-        bodies: BodyBuffers::new(limits.max_body_memory_bytes),
-        connections: Connections::new(limits.max_connections()),
         graceful: GracefulShutdown::new(),
         daemon: Arc::clone(&daemon),
     };
-    let connections = Arc::clone(&server.connections);
+    let connections = Arc::clone(&daemon.connections);
     let sweeps = tokio::spawn(async move { connections.close_stalled(|| timeouts).await });
+    let logs = tokio::spawn(log_crowds(Arc::clone(&daemon)));
     let grace = tokio::select! {
         () = server.accept(&listener) => Duration::ZERO,
         grace = &mut shutdown => grace.unwrap_or_default(),
@@ -85,6 +83,23 @@
     drop(listener);
     let _ = timeout(grace, server.graceful.shutdown()).await;
     sweeps.abort();
+    logs.abort();
+}
+
+/// Logs when callers meet the limits, once per interval at most; never returns.
+async fn log_crowds(daemon: Arc<Daemon>) {
+    let mut last = (0, 0);
+    loop {
+        sleep(CROWD_LOG_INTERVAL).await;
+        let now = (daemon.connections.displaced(), daemon.bodies.displaced());
+        let before = std::mem::replace(&mut last, now);
+        if now != before {
+            let (connections, bodies) = (now.0 - before.0, now.1 - before.1);
+            log::warn!(
+                "callers: limits met: {connections} connections and {bodies} bodies displaced"
+            );
+        }
+    }
 }
 
 impl Server {
@@ -96,14 +111,14 @@
                 continue;
             };
             let _ = stream.set_nodelay(true);
-            let guard = self.connections.add().await;
+            let guard = self.daemon.connections.add().await;
             self.spawn_connection(stream, guard);
         }
     }
 
     fn spawn_connection(&self, stream: TcpStream, guard: ConnectionGuard) {
         let caller = Arc::clone(&guard.connection);
-        let (daemon, bodies) = (Arc::clone(&self.daemon), Arc::clone(&self.bodies));
+        let (daemon, bodies) = (Arc::clone(&self.daemon), Arc::clone(&self.daemon.bodies));
         let complete = self.load_shed.layer(service_fn(move |req: CompleteRequest| {
             let daemon = Arc::clone(&daemon);
             Box::pin(async move {
--- a/src/transport/connections.rs
+++ b/src/transport/connections.rs
@@ -57,9 +57,9 @@
 #[derive(Debug)]
 struct Activity {
     stage: Stage,
-    /// When the stage began.
+    /// Sweep in which the stage began.
     since: Sweep,
-    /// When the caller last made progress.
+    /// Sweep in which the caller last made progress.
     progress: Sweep,
     is_closing: bool,
 }
@@ -130,7 +130,7 @@
         self.close.notify_one();
     }
 
-    /// When it began to wait for its caller; `None` if it doesn't, or is being closed.
+    /// Returns the sweep since which it waits for its caller; `None` if it doesn't wait or is being closed.
     fn waits_since(&self) -> Option<Sweep> {
         let activity = self.activity.lock();
         let waits = activity.stage != Stage::Service && !activity.is_closing;
@@ -178,7 +178,7 @@
         self.open.lock().len()
     }
 
-    /// Whether no connection is open.
+    /// Returns true if no connection is open.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
