--- a/review/stand-3/src/cases.rs
+++ b/review/stand-3/src/cases.rs
@@ -4,9 +4,11 @@
     Verdict,
     http::{Call, Channel},
     record::{Record, RunSpan},
-    site::{Route, Site, USUAL_ROUTE, ZONES, desired_state, job, kill_all},
+    site::{MACHINES, Route, Site, USUAL_ROUTE, ZONES, desired_state, job, kill_all},
 };
 use std::{
+    io,
+    sync::atomic::Ordering,
     thread::{self, sleep},
     time::{Duration, Instant},
 };
@@ -19,10 +21,11 @@
 const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
 /// `recoveryS`.
 const RECOVERY: Duration = Duration::from_secs(12);
-/// `cancel_ms`.
-const CANCEL: Duration = Duration::from_millis(3_000);
-/// `stopMs`.
-const STOP: Duration = Duration::from_millis(50);
+/// Time after which the entry of a silent worker is removed.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(4_500);
+/// Time after which a machine that has read the list of workers all the while takes it to name all
+/// that may be in use, after an entry was removed: a read of the list, and 66 s.
+const KNOWN_LIST: Duration = Duration::from_millis(71_500);
 /// Time for which clients wait for a response.
 const PATIENCE_MS: u64 = 15_000;
 
@@ -33,14 +36,14 @@
     match name {
         "lost-channel" => Some(lost_channel),
         "priority" => Some(priority),
-        "cancel" => Some(cancel),
         "capital-id" => Some(capital_id),
+        "old-list" => Some(old_list),
         _ => None,
     }
 }
 
 fn start(program: &str, record: &Record) -> Result<Site, String> {
-    let site = Site::start(program, record, &desired_state(7, &[USUAL_ROUTE]))?;
+    let site = Site::start(program, record, &desired_state(7, &[USUAL_ROUTE]), &MACHINES)?;
     sleep(CONTACT + Duration::from_millis(200));
     Ok(site)
 }
@@ -180,56 +183,48 @@
     Ok(held && recovered)
 }
 
-/// A job of two steps is cancelled while its first step is at work.
-fn cancel(program: &str, record: &Record, trouble: bool) -> Verdict {
-    let site = start(program, record)?;
-    let first = site.machine_of(ZONES[0]);
+/// A machine that the store turns away goes on using a worker whose entry has expired, and is
+/// killed. The next one starts the worker's task again at once.
+fn old_list(program: &str, record: &Record, trouble: bool) -> Verdict {
+    let zone = ZONES[0];
+    let machines = [(zone, 0.62), (zone, 0.25), (zone, 0.19)];
+    let site = Site::start(program, record, &desired_state(7, &[USUAL_ROUTE]), &machines)?;
+    let failed = |e: io::Error| format!("a worker can't be started: {e}");
+    let is_cut = site.start_worker(zone, 10, "b").map_err(failed)?;
+    record.note(format!("worker i-{zone}-10 is the only one of kind b"));
+    sleep(Duration::from_secs(2));
+    if trouble {
+        record.note(format!("the store turns {} away from now on", site.machines[0].name));
+        site.machines[0].is_turned_away.store(true, Ordering::Relaxed);
+        record.note(format!("worker i-{zone}-10 is cut off from the store from now on"));
+        is_cut.store(true, Ordering::Relaxed);
+    }
+    sleep(ENTRY_LIFETIME + Duration::from_secs(1));
+    site.start_worker(zone, 11, "b").map_err(failed)?;
+    record.note(format!("worker i-{zone}-11 of kind b is added"));
+    sleep(if trouble { KNOWN_LIST } else { Duration::from_secs(5) });
     let id = "5c0e7a21d94b36f8";
-    let call = job(id, "the client", &[4_500, 2_500], PATIENCE_MS);
-    let acknowledged = thread::scope(|scope| {
-        let site = &site;
-        let sent = scope.spawn(|| site.call(first, &call, Duration::from_millis(PATIENCE_MS)));
-        let acknowledged = wait_for_run(record, id, Duration::from_secs(2)).map(|()| {
-            sleep(Duration::from_millis(500));
-            let method = "DELETE";
-            let cancel = Call { method, body: String::new(), ..call.clone() };
-            let status = if trouble {
-                site.call(first, &cancel, Duration::from_secs(4))
-            } else {
-                record.note("the job is not cancelled");
-                None
-            };
-            status.map(|status| (status, record.now()))
-        });
-        let answer = sent.join().unwrap_or_default();
-        if !trouble && answer != Some(200) {
-            return Err("the job is not answered with success".to_owned());
+    let mut call = job(id, "the client", &[9_000], PATIENCE_MS * 2);
+    call.body = call.body.replace(r#""memMb":64"#, r#""memMb":64,"requiredLabel":"b""#);
+    thread::scope(|scope| {
+        let (site, call) = (&site, &call);
+        scope.spawn(move || site.call(2, call, Duration::from_millis(PATIENCE_MS * 2)));
+        wait_for_run(record, id, Duration::from_secs(2))?;
+        sleep(Duration::from_millis(1_500));
+        if trouble {
+            record.note(format!("{} is killed", site.machines[0].name));
+            site.kill(0);
         }
-        acknowledged
+        Ok::<_, String>(())
     })?;
     wait_until_idle(record);
-    let Some((status, at)) = acknowledged else {
-        return if trouble { Err("the cancel had no response".into()) } else { Ok(true) };
-    };
-    if !(200..300).contains(&status) && status != 410 {
-        return Err(format!("the cancel was answered with {status}"));
-    }
-    let mut held = true;
-    for run in record.runs().iter().filter(|run| is_of(run, id)) {
-        let since = |moment: Duration| moment.saturating_sub(at);
-        if run.begin > at + CANCEL {
-            let late = since(run.begin);
-            record.note(format!("UNASKED: {} begins {late:.3?} after the ack", run.task));
-            held = false;
-        }
-        let end = run.end.unwrap_or_else(|| record.now());
-        if end > at + CANCEL + STOP {
-            let late = since(end);
-            record.note(format!("UNASKED: {} is at work until {late:.3?} after the ack", run.task));
-            held = false;
-        }
+    let runs = record.runs();
+    let of_job = runs.iter().filter(|run| is_of(run, id));
+    let workers: Vec<&str> = of_job.map(|run| &*run.worker).collect();
+    if trouble && (workers.len() != 2 || workers[0] == workers[1]) {
+        return Err(format!("the job ran on {workers:?}, so the moment was missed"));
     }
-    Ok(held)
+    Ok(!has_overlap(record))
 }
 
 /// Two clients choose ids that differ; with the disruption, only in capital letters.
--- a/review/stand-3/src/site.rs
+++ b/review/stand-3/src/site.rs
@@ -12,19 +12,26 @@
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
 
 /// Zones, as in the site file `isuku-rounds`.
 pub const ZONES: [&str; 2] = ["nyarugenge", "gasabo"];
-const MACHINES_PER_ZONE: usize = 2;
 const WORKERS_PER_ZONE: usize = 4;
+/// Zones and cores of the machines, unless a case has others.
+pub const MACHINES: [(&str, f64); 4] =
+    [(ZONES[0], 0.25), (ZONES[0], 0.25), (ZONES[1], 0.25), (ZONES[1], 0.25)];
 /// Prefix of the queue that every desired state has.
 pub const PREFIX: &str = "/lohu930/";
 /// Interval at which a worker reports to the store: `heartbeatMs`.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// Reports after which the entry of a silent worker is removed.
+const SILENT_REPORTS: u32 = 3;
 /// Longest wait for the processes to be ready.
 const START_LIMIT: Duration = Duration::from_secs(15);
 
@@ -92,6 +99,8 @@
     pub zone: &'static str,
     pub front: SocketAddr,
     ready: SocketAddr,
+    /// Whether the store turns this machine away.
+    pub is_turned_away: Arc<AtomicBool>,
     settings: PathBuf,
     log: PathBuf,
     /// Number of its process in [`PROCESSES`].
@@ -130,7 +139,12 @@
 impl Site {
     /// Starts the store, the workers and the processes, which run the words of `program`, and waits
     /// until each of them is ready and has run a job.
-    pub fn start(program: &str, record: &Record, state: &str) -> Result<Self, String> {
+    pub fn start(
+        program: &str,
+        record: &Record,
+        state: &str,
+        machines: &[(&'static str, f64)],
+    ) -> Result<Self, String> {
         let store = Arc::new(Store::default());
         store.put("op", "config", state);
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
@@ -141,28 +155,35 @@
             program: program.split(' ').map(str::to_owned).collect(),
             folder,
         };
-        site.set_up().map_err(|e| format!("the deployment can't be set up: {e}"))?;
+        site.set_up(machines).map_err(|e| format!("the deployment can't be set up: {e}"))?;
         (0..site.machines.len()).for_each(|n| site.start_process(n));
         site.wait_until_served()?;
         Ok(site)
     }
 
-    fn set_up(&mut self) -> io::Result<()> {
+    fn set_up(&mut self, machines: &[(&'static str, f64)]) -> io::Result<()> {
         fs::create_dir_all(&self.folder)?;
         for zone in ZONES {
             for n in 0..WORKERS_PER_ZONE {
-                self.start_worker(zone, n)?;
+                self.start_worker(zone, n, "a")?;
             }
         }
-        let (store, record) = (Arc::clone(&self.store), self.record.clone());
-        let store_address = http::serve(move |req| store.respond(&req, &record))?;
-        let count = ZONES.len() * MACHINES_PER_ZONE;
         let ip = |n: usize| IpAddr::from([127, 0, 1, 1 + n as u8]);
-        let ips: Vec<IpAddr> = (0..count).map(ip).collect();
+        let ips: Vec<IpAddr> = (0..machines.len()).map(ip).collect();
         let ports = free_ports(4, &ips)?;
-        for (n, ip) in ips.iter().enumerate() {
-            let zone = ZONES[n / MACHINES_PER_ZONE];
-            let name = format!("front-{zone}-{}", 1 + n % MACHINES_PER_ZONE);
+        for (n, (ip, (zone, cores))) in ips.iter().zip(machines).enumerate() {
+            let number = machines[..n].iter().filter(|(other, _)| other == zone).count() + 1;
+            let name = format!("front-{zone}-{number}");
+            let (store, record) = (Arc::clone(&self.store), self.record.clone());
+            let is_turned_away = Arc::new(AtomicBool::new(false));
+            let is_away = Arc::clone(&is_turned_away);
+            let store_address = http::serve(move |req| {
+                let away = || is_away.load(Ordering::Relaxed).then(|| (503, "{}".to_owned()));
+                away().or_else(|| {
+                    let res = store.respond(&req, &record);
+                    away().or(res)
+                })
+            })?;
             let at = |port: usize| SocketAddr::new(*ip, ports[port]);
             let settings = self.folder.join(format!("{name}.toml"));
             let seeds = ips.iter().take(3).map(|ip| format!("\"{ip}:{}\"", ports[2]));
@@ -171,6 +192,7 @@
                 .replace("{node}", &name)
                 .replace("{ip}", &ip.to_string())
                 .replace("{zone}", zone)
+                .replace("{cores}", &cores.to_string())
                 .replace("{port}", &ports[3].to_string())
                 .replace("{seeds}", &seeds)
                 .replace("{front}", &at(0).to_string())
@@ -180,32 +202,43 @@
             fs::write(&settings, text)?;
             let log = self.folder.join(format!("{name}.log"));
             let (front, ready) = (at(0), at(1));
-            let machine = Machine { name, zone, front, ready, settings, log, process: None };
+            let machine =
+                Machine { name, zone, front, ready, is_turned_away, settings, log, process: None };
             self.machines.push(machine);
         }
         Ok(())
     }
 
-    fn start_worker(&self, zone: &str, n: usize) -> io::Result<()> {
+    /// Starts a worker of a kind. Its reports don't reach the store while the returned flag is set,
+    /// and the store then removes its entry after three intervals.
+    pub fn start_worker(&self, zone: &str, n: usize, kind: &str) -> io::Result<Arc<AtomicBool>> {
         let id = format!("i-{zone}-{n}");
-        let worker = Worker::new(id, zone, format!("r-{zone}"), self.record.clone());
+        let labels = [kind.to_owned(), format!("r-{zone}")];
+        let worker = Worker::new(id, zone, labels, self.record.clone());
         let worker = Arc::new(worker);
         let server = Arc::clone(&worker);
         let address = http::serve(move |req| server.respond(&req))?;
         let store = Arc::clone(&self.store);
         store.put("servers", &worker.id, &worker.entry(address, 1));
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let is_cut_off = Arc::clone(&is_cut);
         thread::spawn(move || {
-            let mut reported = Instant::now();
+            let mut silent = 0;
             for sequence in 2.. {
+                let reported = Instant::now();
                 while reported.elapsed() < HEARTBEAT {
                     worker.end_due_runs();
                     thread::sleep(Duration::from_millis(2));
                 }
-                reported = Instant::now();
-                store.put("servers", &worker.id, &worker.entry(address, sequence));
+                silent = if is_cut_off.load(Ordering::Relaxed) { silent + 1 } else { 0 };
+                match silent {
+                    0 => store.put("servers", &worker.id, &worker.entry(address, sequence)),
+                    SILENT_REPORTS => store.remove("servers", &worker.id),
+                    _ => {}
+                }
             }
         });
-        Ok(())
+        Ok(is_cut)
     }
 
     /// Starts the process of a machine with the command of the deploy file.
@@ -257,6 +290,15 @@
         Ok(())
     }
 
+    /// Kills the process of one machine.
+    pub fn kill(&self, n: usize) {
+        let mut processes = PROCESSES.lock().unwrap();
+        if let Some(process) = self.machines[n].process.and_then(|n| processes.get_mut(n)) {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+
     /// Number of the first machine of a zone.
     pub fn machine_of(&self, zone: &str) -> usize {
         self.machines.iter().position(|machine| machine.zone == zone).unwrap_or(0)
--- a/review/stand-3/src/store.rs
+++ b/review/stand-3/src/store.rs
@@ -65,6 +65,11 @@
         self.write(table, key, Some(base64(value.as_bytes())));
     }
 
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.write(table, key, None);
+    }
+
     fn write(&self, table: &str, key: &str, value: Option<String>) {
         let mut state = self.state.lock().unwrap();
         state.version += 1;
--- a/review/stand-3/src/worker.rs
+++ b/review/stand-3/src/worker.rs
@@ -45,7 +45,8 @@
 pub struct Worker {
     pub id: String,
     zone: String,
-    rack: String,
+    /// Its kind and its rack.
+    labels: [String; 2],
     started: Instant,
     born_ms: u128,
     record: Record,
@@ -54,12 +55,12 @@
 }
 
 impl Worker {
-    pub fn new(id: String, zone: &str, rack: String, record: Record) -> Self {
+    pub fn new(id: String, zone: &str, labels: [String; 2], record: Record) -> Self {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Worker {
             id,
             zone: zone.to_owned(),
-            rack,
+            labels,
             started: Instant::now(),
             born_ms: born.as_millis(),
             record,
@@ -70,12 +71,12 @@
 
     /// Its report about itself, as it stands in the store.
     pub fn entry(&self, address: SocketAddr, sequence: u64) -> String {
-        let Worker { zone, rack, born_ms, .. } = self;
+        let Worker { zone, labels: [kind, rack], born_ms, .. } = self;
         let clock = self.clock_ms();
         format!(
             r#"{{"service":"round-planner","address":"{address}","zone":"{zone}","version":"v1",
             "slots":8,"state":"ready","coldLeftMs":0,
-            "capacity":{{"cpu":{CPU},"memMb":32768,"gpu":0}},"labels":["a","{rack}"],
+            "capacity":{{"cpu":{CPU},"memMb":32768,"gpu":0}},"labels":["{kind}","{rack}"],
             "clockMs":{clock},"sequence":{sequence},"born":{born_ms}}}"#
         )
     }
