--- a/src/state/fleet_config.rs
+++ b/src/state/fleet_config.rs
@@ -55,7 +55,35 @@
     Serialize,
     Deserialize,
 )]
-pub struct Priority(pub u8);
+#[serde(from = "EncodedPriority", into = "EncodedPriority")]
+pub struct Priority(pub u64);
+
+/// Fields of a [`Priority`] within its queue. Earlier versions know the first one alone, as a `u8`, and would
+/// reject a configuration in which it is larger.
+#[derive(Serialize, Deserialize)]
+struct EncodedPriority {
+    priority: u8,
+    /// What `priority` lacks.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    priority_excess: u64,
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
+impl From<Priority> for EncodedPriority {
+    fn from(Priority(full): Priority) -> Self {
+        let priority = u8::try_from(full).unwrap_or(u8::MAX);
+        EncodedPriority { priority, priority_excess: full - u64::from(priority) }
+    }
+}
+
+impl From<EncodedPriority> for Priority {
+    fn from(encoded: EncodedPriority) -> Self {
+        Priority(encoded.priority_excess.saturating_add(encoded.priority.into()))
+    }
+}
 
 /// A queue: the requests that are routed to it, and how their jobs are run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -69,6 +97,7 @@
     /// Pool whose targets run the tasks of the queue.
     pub pool: PoolName,
     /// Priority against the jobs of other queues.
+    #[serde(flatten)]
     pub priority: Priority,
     /// Number of failed runs of one task after which its job fails.
     pub max_attempts: u32,
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -7,6 +7,7 @@
         fleet_capnp as wire,
     },
     state::{
+        fleet_config::{FleetConfig, Priority},
         id::ConfigVersion,
         job_submission::CallerJobId,
         shard::{Shard, ShardCount},
@@ -74,3 +75,27 @@
     let row = serde_json::to_string(&Peer { knows_shards: true, ..peer }).unwrap();
     assert!(serde_json::from_str::<Peer>(&row).unwrap().knows_shards);
 }
+
+/// A configuration as VMs of the production version pass it on, with one queue.
+const CONFIG: &str = r#"{"version":7,"queues":[{"name":"q","host":"h","prefix":"/q/","pool":"p","priority":3,
+    "max_attempts":2,"stretch":1.6,"allowance":{"secs":0,"nanos":60000000},
+    "timeout":{"secs":1,"nanos":500000000},"needs_advice":false}],
+    "pools":[{"name":"p","guarded":true}],"limits":{"header_bytes":16384,"body_bytes":262144,
+    "header_timeout":{"secs":3,"nanos":0},"idle_timeout":{"secs":15,"nanos":0}}}"#;
+
+/// Guards against a configuration that a VM of the production version rejects as a whole: it reads priorities
+/// up to 255. VMs of this version keep the order of all.
+#[test]
+fn config_is_read_by_both_versions_whatever_the_priority() {
+    let production: FleetConfig = serde_json::from_str(CONFIG).unwrap();
+    assert_eq!(production.queues[0].priority, Priority(3));
+    for priority in [0, 3, 255, 256, 300, 301, u64::MAX] {
+        let mut config = production.clone();
+        config.queues[0].priority = Priority(priority);
+        let encoded = serde_json::to_value(&config).unwrap();
+        assert_eq!(encoded["queues"][0]["priority"], priority.min(255), "{priority}");
+        assert_eq!(serde_json::from_value::<FleetConfig>(encoded).unwrap(), config);
+    }
+    let (first, second) = (Priority(300), Priority(301));
+    assert!(first < second);
+}
