--- a/examples/decision_cost.rs
+++ b/examples/decision_cost.rs
@@ -143,7 +143,7 @@
             most_per_target: None,
         };
         let submission = JobSubmission {
-            id: CallerJobId(self.last_id),
+            id: CallerJobId::new(self.last_id),
             queue: QueueName::from("queue"),
             spec: "".into(),
             steps: vec![step],
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -12,6 +12,8 @@
   incarnation @4 :UInt64;
   knowsShards @5 :Bool;
   # Whether the VM's version can divide a zone into shards. A zone with a VM that can't is not divided.
+  knowsIdCase @6 :Bool;
+  # Whether the VM's version keeps the case of job ids.
 }
 
 struct Resources {
@@ -41,6 +43,8 @@
   spec @2 :Text;
   steps @3 :List(Step);
   patienceMs @4 :UInt32;
+  capitals @5 :UInt16;
+  # Digits of the id that are capital letters; the lowest bit is that of the last digit.
 }
 
 enum Verdict {
@@ -85,6 +89,8 @@
   step @1 :UInt32;
   index @2 :UInt32;
   losses @3 :List(Loss);
+  capitals @4 :UInt16;
+  # Digits of the job's id that are capital letters, as in Work.
 }
 
 struct Beat {
--- a/src/coordination/dispatch/lag.rs
+++ b/src/coordination/dispatch/lag.rs
@@ -20,7 +20,7 @@
 /// Retry delay of a job that is refused because of lag, which differs from job to job.
 fn spread_retry(id: CallerJobId) -> Duration {
     // The golden ratio spreads ids that follow each other.
-    let spread = id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+    let spread = id.number().wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
     MIN_RETRY_AFTER + Duration::from_millis(spread % RETRY_SPREAD)
 }
 
--- a/src/fleet/entry.rs
+++ b/src/fleet/entry.rs
@@ -335,8 +335,8 @@
         }
     }
 
-    /// Submits a job to its shard's dispatcher. If there is none, the job is submitted to that of
-    /// another shard or zone, unless runs of it may be left.
+    /// Submits a job to its shard's dispatcher. If there is none, or one that would change the job's id, the job is
+    /// submitted to that of another shard or zone, unless runs of it may be left.
     async fn submit_once(
         self: &Rc<Self>,
         submission: &JobSubmission,
@@ -348,7 +348,8 @@
         if self.dispatches_job(submission.id) {
             return Ok(self.run_locally(submission.clone(), options, None).await);
         }
-        if let Some(link) = self.link_for(submission.id).get() {
+        let link = self.link_for(submission.id).get();
+        if let Some(link) = link.filter(|link| link.keeps_id(submission.id)) {
             return Ok(link.run(submission, options).await?);
         }
         if options.resumed {
@@ -371,7 +372,8 @@
         submission: &JobSubmission,
     ) -> Result<Outcome, UnknownCause> {
         match self.redirect_link(to).await {
-            Ok(link) => run_redirected(&link, submission).await,
+            Ok(link) if link.keeps_id(submission.id) => run_redirected(&link, submission).await,
+            Ok(_) => Ok(NO_DISPATCHER),
             Err(e) => {
                 log::info!("entry: job {} not redirected to {to}: {e}", submission.id);
                 Ok(NO_DISPATCHER)
@@ -413,12 +415,13 @@
         }
     }
 
-    /// Returns a connection to the dispatcher of another shard, one of this zone if possible, or `None`
-    /// if none can be reached. Jobs are spread by their ids.
+    /// Returns a connection to the dispatcher of another shard for the job with this id, one of this zone if
+    /// possible, or `None` if none can be reached. Jobs are spread by their ids.
     async fn any_other_link(self: &Rc<Self>, id: CallerJobId) -> Option<Rc<PeerLink>> {
-        let siblings = self.open_shard_links();
+        let mut siblings = self.open_shard_links();
+        siblings.retain(|link| link.keeps_id(id));
         if !siblings.is_empty() {
-            return siblings.get(id.0 as usize % siblings.len()).cloned();
+            return siblings.get(id.number() as usize % siblings.len()).cloned();
         }
         let hints: Vec<_> = self
             .dispatcher_hints
@@ -426,11 +429,12 @@
             .iter()
             .map(|(zone, address)| (zone.clone(), *address))
             .collect();
-        let first = id.0 as usize % hints.len().max(1);
+        let first = id.number() as usize % hints.len().max(1);
         for (zone, address) in hints.iter().cycle().skip(first).take(hints.len()) {
             let connecting = timeout(OTHER_ZONE_CONNECT_TIMEOUT, self.redirect_link(*address));
             match connecting.await.unwrap_or(Err(RpcError::Timeout)) {
-                Ok(link) => return Some(link),
+                Ok(link) if link.keeps_id(id) => return Some(link),
+                Ok(_) => continue,
                 Err(e) => log::info!("links: dispatcher of {zone} at {address} not reached: {e}"),
             }
             self.dispatcher_hints.borrow_mut().retain(|_, hint| hint != address);
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -35,6 +35,10 @@
     /// Whether the VM's version can divide a zone into shards.
     #[serde(default)]
     pub knows_shards: bool,
+    /// Whether the VM's version keeps the case of job ids; one that doesn't would run a job whose id has
+    /// capital letters under another one.
+    #[serde(default)]
+    pub knows_id_case: bool,
 }
 
 /// Reply to a request to run a job.
@@ -200,6 +204,7 @@
         weight: r.get_weight(),
         incarnation: Incarnation(r.get_incarnation()),
         knows_shards: r.get_knows_shards(),
+        knows_id_case: r.get_knows_id_case(),
     })
 }
 
@@ -211,6 +216,7 @@
     b.set_weight(peer.weight);
     b.set_incarnation(peer.incarnation.0);
     b.set_knows_shards(peer.knows_shards);
+    b.set_knows_id_case(peer.knows_id_case);
 }
 
 /// Reads a heartbeat.
@@ -255,12 +261,14 @@
             crashed: loss.get_crashed(),
         });
     }
-    let task = TaskId { job: CallerJobId(r.get_job()), step: r.get_step(), index: r.get_index() };
+    let job = CallerJobId::with_capitals(r.get_job(), r.get_capitals());
+    let task = TaskId { job, step: r.get_step(), index: r.get_index() };
     Ok(TaskLosses { task, losses })
 }
 
 fn write_task_losses(losses: &TaskLosses, mut b: wire::task_losses::Builder<'_>) {
-    b.set_job(losses.task.job.0);
+    b.set_job(losses.task.job.number());
+    b.set_capitals(losses.task.job.capitals());
     b.set_step(losses.task.step);
     b.set_index(losses.task.index);
     let mut list = b.init_losses(losses.losses.len() as u32);
@@ -345,7 +353,7 @@
 pub fn read_job_submission(r: wire::work::Reader<'_>) -> Result<JobSubmission, WireError> {
     let steps = r.get_steps()?.iter().map(read_step).collect::<Result<_, _>>()?;
     Ok(JobSubmission {
-        id: CallerJobId(r.get_id()),
+        id: CallerJobId::with_capitals(r.get_id(), r.get_capitals()),
         queue: QueueName::from(read_text(r.get_queue()?)?),
         spec: Arc::from(read_text(r.get_spec()?)?),
         steps,
@@ -355,7 +363,8 @@
 
 /// Writes a job.
 pub fn write_job_submission(job: &JobSubmission, mut b: wire::work::Builder<'_>) {
-    b.set_id(job.id.0);
+    b.set_id(job.id.number());
+    b.set_capitals(job.id.capitals());
     b.set_queue(&*job.queue.0);
     b.set_spec(&*job.spec);
     b.set_patience_ms(job.time_to_deadline.as_millis() as u32);
--- a/src/protocol/fleet_capnp.rs
+++ b/src/protocol/fleet_capnp.rs
@@ -102,6 +102,10 @@
         pub fn get_knows_shards(self) -> bool {
             self.reader.get_bool_field(32)
         }
+        #[inline]
+        pub fn get_knows_id_case(self) -> bool {
+            self.reader.get_bool_field(33)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -228,6 +232,14 @@
         pub fn set_knows_shards(&mut self, value: bool)  {
             self.builder.set_bool_field(32, value);
         }
+        #[inline]
+        pub fn get_knows_id_case(self) -> bool {
+            self.builder.get_bool_field(33)
+        }
+        #[inline]
+        pub fn set_knows_id_case(&mut self, value: bool)  {
+            self.builder.set_bool_field(33, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -239,7 +251,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(81, 103, 216, 68, 96, 68, 233, 150),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
@@ -249,56 +261,63 @@
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 77, 101, 109, 98),
             ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 32, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 33, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -349,6 +368,15 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 110, 111, 119, 115, 73, 100, 67),
+            ::capnp::word(97, 115, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -358,6 +386,7 @@
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -371,9 +400,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,5,0,3,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,6,5,0,3,1];
         pub(crate) const TYPE_ID: u64 = 0x96e9_4460_44d8_6751;
     }
 }
@@ -1175,6 +1204,10 @@
         pub fn get_patience_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(2)
         }
+        #[inline]
+        pub fn get_capitals(self) -> u16 {
+            self.reader.get_data_field::<u16>(6)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -1293,6 +1326,14 @@
         pub fn set_patience_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(2, value);
         }
+        #[inline]
+        pub fn get_capitals(self) -> u16 {
+            self.builder.get_data_field::<u16>(6)
+        }
+        #[inline]
+        pub fn set_capitals(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(6, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1304,7 +1345,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 113] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(135, 151, 29, 207, 150, 117, 59, 249),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
@@ -1314,49 +1355,56 @@
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 87, 111, 114, 107),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1402,6 +1450,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 112, 105, 116, 97, 108, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1410,6 +1467,7 @@
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::struct_list::Owned<crate::fleet_capnp::step::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1423,9 +1481,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,1,2,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,0,4,1,2,3];
         pub(crate) const TYPE_ID: u64 = 0xf93b_7596_cf1d_9787;
     }
 }
@@ -2478,11 +2536,15 @@
         pub fn has_losses(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_capitals(self) -> u16 {
+            self.reader.get_data_field::<u16>(8)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2572,6 +2634,14 @@
         pub fn has_losses(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_capitals(self) -> u16 {
+            self.builder.get_data_field::<u16>(8)
+        }
+        #[inline]
+        pub fn set_capitals(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(8, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2583,52 +2653,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(104, 62, 169, 160, 158, 222, 92, 151),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(4, 104, 94, 211, 162, 201, 247, 177),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 84, 97, 115, 107),
             ::capnp::word(76, 111, 115, 115, 101, 115, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(106, 111, 98, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2665,6 +2742,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 112, 105, 116, 97, 108, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2672,6 +2758,7 @@
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::struct_list::Owned<crate::fleet_capnp::loss::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2685,9 +2772,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,0,3,1];
         pub(crate) const TYPE_ID: u64 = 0x975c_de9e_a0a9_3e68;
     }
 }
--- a/src/state/crash_history.rs
+++ b/src/state/crash_history.rs
@@ -106,7 +106,7 @@
 ///     time::Moment,
 /// };
 ///
-/// let task = TaskId { job: CallerJobId(1), step: 0, index: 0 };
+/// let task = TaskId { job: CallerJobId::new(1), step: 0, index: 0 };
 /// let loss = |target: &str| Loss {
 ///     target: TargetId::from(target),
 ///     incarnation: TargetIncarnation(1),
--- a/src/state/job_submission.rs
+++ b/src/state/job_submission.rs
@@ -7,22 +7,77 @@
 };
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
-use std::{fmt, num::ParseIntError, str::FromStr, sync::Arc, time::Duration};
+use std::{
+    fmt::{self, Write},
+    str::FromStr,
+    sync::Arc,
+    time::Duration,
+};
+
+/// Number of hexadecimal digits of a [`CallerJobId`].
+const JOB_ID_DIGITS: usize = 16;
 
-/// A job id chosen by its caller: 16 hexadecimal digits.
+/// A job id chosen by its caller: 16 hexadecimal digits, in the case that the caller chose. Ids that differ
+/// only in case name different jobs.
 ///
 /// ```
 /// use cranberrytray::state::job_submission::CallerJobId;
 ///
 /// let id: CallerJobId = "5c0e7a21d94b36f8".parse().unwrap();
 /// assert_eq!(id.to_string(), "5c0e7a21d94b36f8");
+/// let other: CallerJobId = "5C0e7a21d94b36F8".parse().unwrap();
+/// assert_eq!(other.to_string(), "5C0e7a21d94b36F8");
+/// assert_ne!(id, other);
 /// ```
+///
+/// # Errors
+///
+/// Parsing fails with a [`CallerJobIdError`] unless there are 16 hexadecimal digits and nothing else.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct CallerJobId(pub u64);
+#[serde(try_from = "String", into = "String")]
+pub struct CallerJobId {
+    number: u64,
+    /// Has a bit set for each digit that is a capital letter; the lowest bit is that of the last digit.
+    capitals: u16,
+}
+
+/// Error from parsing a [`CallerJobId`].
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("a job id has {JOB_ID_DIGITS} hexadecimal digits")]
+pub struct CallerJobIdError;
+
+impl CallerJobId {
+    /// The id with the value `number`, without capital letters.
+    pub const fn new(number: u64) -> Self {
+        CallerJobId { number, capitals: 0 }
+    }
+
+    /// The id with the value `number` in which the digits in `capitals` are capital letters; bits of digits
+    /// that are no letters have no effect. The lowest bit stands for the last digit.
+    pub fn with_capitals(number: u64, capitals: u16) -> Self {
+        let is_letter = |digit: &usize| number >> (4 * digit) & 0xf >= 0xa;
+        let letters = (0..JOB_ID_DIGITS).filter(is_letter).fold(0, |bits, digit| bits | 1 << digit);
+        CallerJobId { number, capitals: capitals & letters }
+    }
+
+    /// Value of the id, which it shares with those that differ only in case.
+    pub fn number(self) -> u64 {
+        self.number
+    }
+
+    /// The digits that are capital letters, as in [`CallerJobId::with_capitals`].
+    pub fn capitals(self) -> u16 {
+        self.capitals
+    }
+}
 
 impl fmt::Display for CallerJobId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
+        for (n, digit) in format!("{:016x}", self.number).char_indices() {
+            let is_capital = self.capitals >> (JOB_ID_DIGITS - 1 - n) & 1 == 1;
+            f.write_char(if is_capital { digit.to_ascii_uppercase() } else { digit })?;
+        }
+        Ok(())
     }
 }
 
@@ -33,10 +88,30 @@
 }
 
 impl FromStr for CallerJobId {
-    type Err = ParseIntError;
+    type Err = CallerJobIdError;
+
+    fn from_str(s: &str) -> Result<Self, CallerJobIdError> {
+        // The parser of numbers also accepts a sign.
+        if s.len() != JOB_ID_DIGITS || !s.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(CallerJobIdError);
+        }
+        let number = u64::from_str_radix(s, 16).map_err(|_| CallerJobIdError)?;
+        let capitals = s.bytes().fold(0, |bits, b| bits << 1 | u16::from(b.is_ascii_uppercase()));
+        Ok(CallerJobId { number, capitals })
+    }
+}
+
+impl TryFrom<String> for CallerJobId {
+    type Error = CallerJobIdError;
+
+    fn try_from(s: String) -> Result<Self, CallerJobIdError> {
+        s.parse()
+    }
+}
 
-    fn from_str(s: &str) -> Result<Self, ParseIntError> {
-        u64::from_str_radix(s, 16).map(CallerJobId)
+impl From<CallerJobId> for String {
+    fn from(id: CallerJobId) -> String {
+        id.to_string()
     }
 }
 
--- a/src/state/shard.rs
+++ b/src/state/shard.rs
@@ -83,7 +83,7 @@
 
     /// Returns the index of the shard to which a job is submitted first.
     pub fn shard_of_job(self, id: CallerJobId) -> u16 {
-        self.shard_of(&id.0)
+        self.shard_of(&id.number())
     }
 
     /// Returns the index of the shard for which a VM may be elected. `position` is that of the VM
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -22,7 +22,7 @@
     },
     state::{
         id::{ConfigVersion, VmName, ZoneName},
-        job_submission::JobSubmission,
+        job_submission::{CallerJobId, JobSubmission},
         shard::ShardCount,
         target::TargetId,
         time::Moment,
@@ -354,6 +354,13 @@
         self.closed.get()
     }
 
+    /// Whether the peer runs a job with this id under that very id: earlier versions read it without capital
+    /// letters, which is the id of another job.
+    pub fn keeps_id(&self, id: CallerJobId) -> bool {
+        let heartbeat = self.last_heartbeat.borrow();
+        id.capitals() == 0 || heartbeat.as_ref().is_some_and(|h| h.from.knows_id_case)
+    }
+
     /// Waits until the connection is closed because it failed.
     pub async fn closed(&self) {
         while !self.closed.get() {
--- a/tests/dispatch/capacity.rs
+++ b/tests/dispatch/capacity.rs
@@ -57,7 +57,7 @@
     let mut sim = unguarded_simulation(1);
     let now = sim.now;
     for index in 0..2 {
-        let task = TaskId { job: CallerJobId(7), step: 0, index };
+        let task = TaskId { job: CallerJobId::new(7), step: 0, index };
         sim.target(0).add_earlier_run(task, ms(800), now);
     }
     if is_stopped_before {
--- a/tests/dispatch/crashing_tasks.rs
+++ b/tests/dispatch/crashing_tasks.rs
@@ -24,7 +24,7 @@
 }
 
 fn first_task(id: u64) -> TaskId {
-    TaskId { job: CallerJobId(id), step: 0, index: 0 }
+    TaskId { job: CallerJobId::new(id), step: 0, index: 0 }
 }
 
 /// Returns the index of the target that runs something.
--- a/tests/dispatch/fixtures.rs
+++ b/tests/dispatch/fixtures.rs
@@ -73,7 +73,7 @@
         most_per_target: None,
     };
     JobSubmission {
-        id: CallerJobId(id),
+        id: CallerJobId::new(id),
         queue: QueueName::from(queue),
         spec: format!("{}", declared.as_millis()).into(),
         steps: vec![step],
--- a/tests/dispatch/large_jobs.rs
+++ b/tests/dispatch/large_jobs.rs
@@ -64,7 +64,10 @@
         sim.submit(submission(20_000 + id, LONG, 1, ms(900)));
         sim.run(ms(500));
     }
-    assert_eq!(sim.target(0).starts.iter().filter(|(task, _)| task.job.0 >= 20_000).count(), 60);
+    assert_eq!(
+        sim.target(0).starts.iter().filter(|(task, _)| task.job.number() >= 20_000).count(),
+        60
+    );
     sim.log.clear();
     // More tasks than the fast target has room for: the others take 0.9 s.
     sim.submit(submission(1, LONG, 6, ms(900)));
--- a/tests/dispatch/late_orders.rs
+++ b/tests/dispatch/late_orders.rs
@@ -350,7 +350,7 @@
     sim.run(ms(10));
     let key = sim.submit(submission(2, LONG, 2, ms(400)));
     assert_ne!(sim.target(0).running(), 0);
-    let task = TaskId { job: CallerJobId(1), step: 0, index: 0 };
+    let task = TaskId { job: CallerJobId::new(1), step: 0, index: 0 };
     let reply = StopReply::OtherTarget;
     sim.dispatcher.on_stop_reply(&id, task, RunNumber(1), reply, sim.now);
     sim.process_actions();
--- a/tests/dispatch/look_ahead.rs
+++ b/tests/dispatch/look_ahead.rs
@@ -35,7 +35,7 @@
 /// Target and moment of the first start of a job.
 fn first_start(sim: &Simulation, id: u64) -> Option<(usize, Moment)> {
     let starts = sim.targets.values().enumerate().flat_map(|(n, target)| {
-        let of_job = target.starts.iter().filter(move |(task, _)| task.job.0 == id);
+        let of_job = target.starts.iter().filter(move |(task, _)| task.job.number() == id);
         of_job.map(move |(_, at)| (n, *at))
     });
     starts.min_by_key(|(_, at)| *at)
--- a/tests/dispatch/malformed.rs
+++ b/tests/dispatch/malformed.rs
@@ -43,7 +43,7 @@
 #[test]
 fn report_with_huge_numbers_is_survived() {
     let mut sim = Simulation::new(2).take_over();
-    let task = TaskId { job: CallerJobId(7), step: 0, index: 0 };
+    let task = TaskId { job: CallerJobId::new(7), step: 0, index: 0 };
     let key = sim.submit(submission(7, LONG, 1, ms(500)));
     sim.run(ms(100));
     let n = (0..2).find(|&n| sim.target(n).running() > 0).unwrap();
--- a/tests/dispatch/ownership.rs
+++ b/tests/dispatch/ownership.rs
@@ -10,7 +10,7 @@
 };
 
 fn task(job: u64) -> TaskId {
-    TaskId { job: CallerJobId(job), step: 0, index: 0 }
+    TaskId { job: CallerJobId::new(job), step: 0, index: 0 }
 }
 
 #[test]
--- a/tests/dispatch/restarts.rs
+++ b/tests/dispatch/restarts.rs
@@ -230,7 +230,11 @@
     target.registers_at = now + ms(5_000);
     target.is_guarded = false;
     for id in [7, 8] {
-        target.add_earlier_run(TaskId { job: CallerJobId(id), step: 0, index: 0 }, ms(800), now);
+        target.add_earlier_run(
+            TaskId { job: CallerJobId::new(id), step: 0, index: 0 },
+            ms(800),
+            now,
+        );
     }
     sim.publish_targets();
     sim.run(ms(10));
--- a/tests/dispatch/run_log.rs
+++ b/tests/dispatch/run_log.rs
@@ -20,7 +20,7 @@
 use indexmap::IndexSet;
 
 fn task(job: u64) -> TaskId {
-    TaskId { job: CallerJobId(job), step: 0, index: 0 }
+    TaskId { job: CallerJobId::new(job), step: 0, index: 0 }
 }
 
 fn target(n: usize) -> TargetId {
--- a/tests/dispatch/step_down.rs
+++ b/tests/dispatch/step_down.rs
@@ -38,7 +38,7 @@
             assert!(!unknown.is_empty() && !refused.is_empty(), "{case}");
             let started = |sim: &Simulation, n: usize| {
                 let mut starts = sim.targets.values().flat_map(|target| &target.starts);
-                starts.any(|(started, _)| started.job == CallerJobId(n as u64 + 1))
+                starts.any(|(started, _)| started.job == CallerJobId::new(n as u64 + 1))
             };
             // The target executes late requests of the former dispatcher until then.
             sim.run(ms(960));
--- a/tests/dispatch/takeover.rs
+++ b/tests/dispatch/takeover.rs
@@ -5,7 +5,7 @@
 use cranberrytray::state::job_submission::{CallerJobId, Outcome, Refusal, TaskId};
 
 fn task(job: u64) -> TaskId {
-    TaskId { job: CallerJobId(job), step: 0, index: 0 }
+    TaskId { job: CallerJobId::new(job), step: 0, index: 0 }
 }
 
 fn is_closed(outcome: Option<Outcome>) -> bool {
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -51,6 +51,7 @@
         weight: 250,
         incarnation: Incarnation(1),
         knows_shards: true,
+        knows_id_case: true,
     }
 }
 
--- a/tests/heartbeat.rs
+++ b/tests/heartbeat.rs
@@ -130,6 +130,7 @@
         weight: 250,
         incarnation: Incarnation(1),
         knows_shards: true,
+        knows_id_case: true,
     };
     Heartbeat {
         from,
@@ -182,7 +183,7 @@
 /// Submits a job whose caller waits for 1.5 s.
 async fn run(client: &peer::Client) -> DispatchReply {
     let job = JobSubmission {
-        id: CallerJobId(7),
+        id: CallerJobId::new(7),
         queue: "queue".into(),
         spec: "".into(),
         steps: Vec::new(),
@@ -326,7 +327,7 @@
         is_main_suspect: !crashed,
         crashed,
     };
-    let task = TaskId { job: CallerJobId(0x5c0e_7a21_d94b_36f8), step: 2, index: 17 };
+    let task = TaskId { job: "5C0E7a21d94b36f8".parse().unwrap(), step: 2, index: 17 };
     let losses = vec![TaskLosses { task, losses: vec![loss("i-1", true), loss("i-2", false)] }];
     let sent = heartbeat(losses);
     let (received, _) = receive(sent.clone());
--- a/tests/late_orders/callers.rs
+++ b/tests/late_orders/callers.rs
@@ -76,7 +76,7 @@
         let (longest, patience) =
             if is_long { (ms(8_000), LONG_PATIENCE) } else { (ms(1_200), PATIENCE) };
         Job {
-            id: CallerJobId(id),
+            id: CallerJobId::new(id),
             tasks: rng.random_range(1..=4),
             duration: log_uniform(rng, ms(60), longest),
             patience,
--- a/tests/received_jobs.rs
+++ b/tests/received_jobs.rs
@@ -47,6 +47,7 @@
             weight: 250,
             incarnation: Incarnation(1),
             knows_shards: true,
+            knows_id_case: true,
         };
         Heartbeat {
             from,
@@ -99,7 +100,7 @@
 
 fn job() -> JobSubmission {
     JobSubmission {
-        id: CallerJobId(7),
+        id: CallerJobId::new(7),
         queue: QueueName::from("queue"),
         spec: "".into(),
         steps: Vec::new(),
@@ -137,7 +138,10 @@
     let events = send(interval, Duration::ZERO, Duration::from_millis(200));
     let [(event, job)] = &events[..] else { panic!("{events:?}") };
     assert_eq!(*event, ReceivedJobEvent::Dropped);
-    assert_eq!((job.id, job.from.as_ref().map(|vm| vm.as_str())), (CallerJobId(7), Some("vm-1")));
+    assert_eq!(
+        (job.id, job.from.as_ref().map(|vm| vm.as_str())),
+        (CallerJobId::new(7), Some("vm-1"))
+    );
     assert!(job.age >= Duration::from_millis(150), "{job}");
     assert!(job.silence < Duration::from_millis(500), "{job}");
 }
--- a/tests/resubmission.rs
+++ b/tests/resubmission.rs
@@ -12,7 +12,7 @@
     state::{
         fleet_config::{FleetConfig, Label, Pool, PoolName, Priority, Queue, RequestLimits},
         id::{ConfigVersion, Incarnation, ZoneName},
-        job_submission::{CallerJobId, JobSubmission, Outcome, RunNumber, Step, TaskId},
+        job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, RunNumber, Step, TaskId},
         mechanism::MechanismSet,
         resources::{Mebibytes, MilliCores, Resources},
         target::{
@@ -63,6 +63,12 @@
 }
 
 impl Targets {
+    /// Targets on which tasks of a job were started.
+    fn targets_of(&self, job: CallerJobId) -> Vec<TargetId> {
+        let runs = self.runs.borrow();
+        runs.iter().filter(|run| run.task.job == job).map(|run| run.target.clone()).collect()
+    }
+
     fn clock(&self) -> TargetTime {
         TargetTime(1_000 + self.started.elapsed().as_millis() as u64)
     }
@@ -200,7 +206,7 @@
         most_per_target: None,
     };
     JobSubmission {
-        id: CallerJobId(id),
+        id: CallerJobId::new(id),
         queue: "queue".into(),
         spec: "{}".into(),
         steps: vec![step],
@@ -264,6 +270,11 @@
 
 impl Site {
     async fn start() -> Site {
+        Site::start_with_versions([true; 2]).await
+    }
+
+    /// Starts a site with dispatchers of which some are of a version that doesn't know the case of ids.
+    async fn start_with_versions(knows_id_case: [bool; 2]) -> Site {
         let targets = Targets { started: Instant::now(), runs: Rc::default() };
         let mut listeners = Vec::new();
         for _ in 0..3 {
@@ -273,17 +284,23 @@
             listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
         let relay = Relay::start(addresses[0]).await;
         addresses[0] = relay.address;
-        let vms = [("dispatcher-a", 0, 500), ("dispatcher-b", 1, 500), ("entry-a", 0, 100)];
+        let [knows_a, knows_b] = knows_id_case;
+        let vms = [
+            ("dispatcher-a", 0, 500, knows_a),
+            ("dispatcher-b", 1, 500, knows_b),
+            ("entry-a", 0, 100, true),
+        ];
         let peers: Vec<Peer> = vms
             .iter()
             .zip(&addresses)
-            .map(|((vm, zone, weight), address)| Peer {
+            .map(|((vm, zone, weight, knows_id_case), address)| Peer {
                 vm: vm.parse().unwrap(),
                 zone: ZONES[*zone].parse().unwrap(),
                 address: *address,
                 weight: *weight,
                 incarnation: Incarnation(1),
                 knows_shards: true,
+                knows_id_case: *knows_id_case,
             })
             .collect();
         let zones: Vec<ZoneName> = ZONES.iter().map(|zone| zone.parse().unwrap()).collect();
@@ -353,3 +370,27 @@
         assert_eq!((twice, completed), (0, JOBS as u32), "run twice and completed, of {JOBS}");
     });
 }
+
+/// Guards against a job that runs under the id of another one while VMs are upgraded: its id has capitals, which
+/// a dispatcher of an earlier version doesn't keep. Another zone runs it, and if all are of that version, none.
+#[test]
+fn job_id_with_capitals_is_not_sent_to_an_older_dispatcher() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let submission = JobSubmission { id: "000000000000A0BC".parse().unwrap(), ..job(0) };
+        let site = Site::start_with_versions([false, true]).await;
+        site.wait_until_served().await;
+        assert_eq!(site.entry.submit(submission.clone()).await, Outcome::Completed);
+        let targets = site.targets.targets_of(submission.id);
+        let is_in_second_zone = |target: &TargetId| target.0.starts_with(ZONES[1]);
+        assert!(!targets.is_empty() && targets.iter().all(is_in_second_zone), "{targets:?}");
+
+        let site = Site::start_with_versions([false, false]).await;
+        site.wait_until_served().await;
+        let outcome = site.entry.submit(submission.clone()).await;
+        let is_refused = matches!(outcome, Outcome::NotRun { refusal: Refusal::NoDispatcher, .. });
+        assert!(is_refused, "{outcome:?}");
+        let lower_case = CallerJobId::new(submission.id.number());
+        assert!(site.targets.targets_of(lower_case).is_empty());
+    });
+}
--- a/tests/rivals.rs
+++ b/tests/rivals.rs
@@ -117,6 +117,7 @@
         weight: 500,
         incarnation: Incarnation(1),
         knows_shards: true,
+        knows_id_case: true,
     }
 }
 
--- a/tests/shards.rs
+++ b/tests/shards.rs
@@ -165,6 +165,7 @@
         weight: 500 - 10 * n as u32,
         incarnation: Incarnation(1),
         knows_shards,
+        knows_id_case: true,
     }
 }
 
@@ -252,7 +253,7 @@
         most_per_target: None,
     };
     JobSubmission {
-        id: CallerJobId(id),
+        id: CallerJobId::new(id),
         queue: "queue".into(),
         spec: "{}".into(),
         steps: vec![step],
@@ -359,8 +360,8 @@
         let zone = Zone::start(0).await;
         zone.wait_for(&[0, 1]).await;
         let count = zone.nodes[0].shard_count();
-        let id = (0..).find(|id| count.shard_of_job(CallerJobId(*id)) == 0).unwrap();
-        let elsewhere = (0..).find(|id| count.shard_of_job(CallerJobId(*id)) == 1).unwrap();
+        let id = (0..).find(|id| count.shard_of_job(CallerJobId::new(*id)) == 0).unwrap();
+        let elsewhere = (0..).find(|id| count.shard_of_job(CallerJobId::new(*id)) == 1).unwrap();
         let submitter = Submitter { id: SubmitterId(1), silent_for: Duration::ZERO };
         for (id, shard_count) in [(id, ShardCount::ONE), (elsewhere, count)] {
             let options = DispatchOptions { may_redirect: false, resumed: true, shard_count };
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -3,13 +3,16 @@
 
 use cranberrytray::{
     protocol::{
-        fleet::{Heartbeat, Peer, read_heartbeat, read_job_submission, write_heartbeat},
+        fleet::{
+            Heartbeat, Peer, read_heartbeat, read_job_submission, write_heartbeat,
+            write_job_submission,
+        },
         fleet_capnp as wire,
     },
     state::{
         fleet_config::{FleetConfig, Priority},
         id::ConfigVersion,
-        job_submission::CallerJobId,
+        job_submission::{CallerJobId, JobSubmission},
         shard::{Shard, ShardCount},
     },
 };
@@ -46,7 +49,7 @@
     let divided = Heartbeat {
         shard: 2,
         shard_count: Some(ShardCount::for_zone(1_000, 100)),
-        from: Peer { knows_shards: true, ..production.from.clone() },
+        from: Peer { knows_shards: true, knows_id_case: true, ..production.from.clone() },
         ..production.clone()
     };
     for heartbeat in [production, divided] {
@@ -63,7 +66,7 @@
     let message = capnp::serialize::read_message(&mut &*RUN, Default::default()).unwrap();
     let params = message.get_root::<wire::peer::run_params::Reader<'_>>().unwrap();
     let job = read_job_submission(params.get_work().unwrap()).unwrap();
-    assert_eq!((job.id, job.steps[0].count), (CallerJobId(77), 4));
+    assert_eq!((job.id, job.steps[0].count), (CallerJobId::new(77), 4));
     assert!(params.get_may_pass() && !params.get_resumed());
     assert_eq!(ShardCount::from_wire(params.get_shard_count()), ShardCount::ONE);
 }
@@ -76,6 +79,30 @@
     assert!(serde_json::from_str::<Peer>(&row).unwrap().knows_shards);
 }
 
+/// Guards against a job whose id changes on its way to the dispatcher. The production version reads the digits
+/// alone, so that it isn't sent ids with capitals.
+#[test]
+fn job_id_keeps_its_case_on_the_wire() {
+    let message = capnp::serialize::read_message(&mut &*RUN, Default::default()).unwrap();
+    let params = message.get_root::<wire::peer::run_params::Reader<'_>>().unwrap();
+    let production = read_job_submission(params.get_work().unwrap()).unwrap();
+    assert_eq!(production.id.to_string(), "000000000000004d");
+    for id in ["5c0e7a21d94b36f0", "5C0E7A21D94B36F0", "5C0e7a21d94b36f0"] {
+        let job = JobSubmission { id: id.parse().unwrap(), ..production.clone() };
+        let mut message = capnp::message::Builder::new_default();
+        write_job_submission(&job, message.init_root::<wire::work::Builder<'_>>());
+        let written = message.get_root_as_reader::<wire::work::Reader<'_>>().unwrap();
+        assert_eq!(written.get_id(), 0x5c0e_7a21_d94b_36f0);
+        assert_eq!(read_job_submission(written).unwrap().id.to_string(), id);
+    }
+}
+
+#[test]
+fn vm_row_of_production_does_not_know_the_case_of_ids() {
+    let peer: Peer = serde_json::from_str(VM_ROW).unwrap();
+    assert!(!peer.knows_id_case && !decode_heartbeat(HEARTBEAT).from.knows_id_case);
+}
+
 /// A configuration as VMs of the production version pass it on, with one queue.
 const CONFIG: &str = r#"{"version":7,"queues":[{"name":"q","host":"h","prefix":"/q/","pool":"p","priority":3,
     "max_attempts":2,"stretch":1.6,"allowance":{"secs":0,"nanos":60000000},
