--- a/src/coordination/dispatch/job.rs
+++ b/src/coordination/dispatch/job.rs
@@ -31,7 +31,7 @@
     /// Number of its runs that failed.
     pub failures: u32,
     /// The highest run number given out; 0 before the first run.
-    pub last_run: u32,
+    pub last_run: u64,
     /// Target on which a run of it may exist.
     pub target: Option<TargetId>,
     /// Target on which its last run that failed or stood still was.
--- a/src/state/job_submission.rs
+++ b/src/state/job_submission.rs
@@ -129,7 +129,7 @@
 
 /// Number of a run among those of its task. A retry has a higher number than earlier runs.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RunNumber(pub u32);
+pub struct RunNumber(pub u64);
 
 /// A step of a job: a number of tasks with the same requirements.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
