Acknowledge ends of runs that are not of this system

By reading: a target lists at most 500 ends that aren't acknowledged. Ends whose tasks have other names were left out when a report was read, and never acknowledged. After 500 of them a dispatcher would learn of no further end on that target, and its callers would wait for tasks that are done.

Change: a report says up to which number it lists ends, and the dispatcher acknowledges them all.

--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -348,6 +348,9 @@
             self.log_unknown_end(id, end, report.clock, now);
             self.close_run(end.task, end.run, id, end.outcome, now);
         }
+        if let Some(target) = self.targets.get_mut(id) {
+            target.last_end_sequence = target.last_end_sequence.max(report.last_end);
+        }
     }
 
     /// Stops reported runs that this dispatcher did not start, and closes its own that are missing
--- a/src/state/target.rs
+++ b/src/state/target.rs
@@ -177,6 +177,9 @@
     pub running: Vec<RunningRun>,
     /// Ended runs that the dispatcher has not acknowledged yet.
     pub ended: Vec<EndedRun>,
+    /// Sequence number of the last end that the answer lists, whether or not `ended` has it: runs that no
+    /// dispatcher of this system started are left out. Zero if the answer lists none.
+    pub last_end: u64,
 }
 
 /// State of a run.
--- a/tests/dispatch/fake_target.rs
+++ b/tests/dispatch/fake_target.rs
@@ -254,6 +254,7 @@
             incarnation: Some(self.incarnation),
             running: running.collect(),
             ended: self.ended.clone(),
+            last_end: self.ended.last().map_or(0, |end| end.sequence),
         }
     }
 }
--- a/tests/dispatch/malformed.rs
+++ b/tests/dispatch/malformed.rs
@@ -86,3 +86,16 @@
         assert_eq!(sim.duplicate_runs, []);
     }
 }
+
+/// Guards against a target whose ends are never read again: it lists at most 500, and those of tasks that this
+/// system doesn't start were never acknowledged.
+#[test]
+fn ends_of_other_tasks_are_acknowledged() {
+    let mut sim = Simulation::new(1).take_over();
+    let now = sim.now;
+    let report = TargetReport { last_end: 700, ..sim.target(0).report(now) };
+    sim.dispatcher.on_lease_renewal_reply(&TargetId::from("t0"), now, Ok(report), now);
+    sim.process_actions();
+    sim.run(ms(500));
+    assert_eq!(sim.target(0).reported_end, 700);
+}
--- a/tests/dispatch/run_log.rs
+++ b/tests/dispatch/run_log.rs
@@ -158,7 +158,7 @@
     let now = sim.now;
     let clock = sim.target(0).clock(now);
     let incarnation = Some(TargetIncarnation(1));
-    let report = TargetReport { clock, incarnation, running: Vec::new(), ended: vec![ended] };
+    let report = TargetReport { clock, incarnation, ended: vec![ended], ..TargetReport::default() };
     sim.dispatcher.on_lease_renewal_reply(&target(0), now, Ok(report), now);
     sim.process_actions();
     assert_eq!(late_runs(&sim), []);
--- a/tests/late_orders/target.rs
+++ b/tests/late_orders/target.rs
@@ -248,6 +248,7 @@
             incarnation: Some(self.incarnation),
             running: running.collect(),
             ended: self.ended.clone(),
+            last_end: self.ended.last().map_or(0, |end| end.sequence),
         }
     }
 }
--- a/tests/resubmission.rs
+++ b/tests/resubmission.rs
@@ -92,7 +92,12 @@
             run: r.number,
             outcome: if r.is_stopped { RunOutcome::Stopped } else { RunOutcome::Done },
         });
-        TargetReport { clock: self.clock(), incarnation: None, running, ended: ended.collect() }
+        TargetReport {
+            clock: self.clock(),
+            running,
+            ended: ended.collect(),
+            ..TargetReport::default()
+        }
     }
 
     /// Tasks of which two runs existed at the same time.
