Accept the names that the platform gives zones and VMs

Cause: ZoneName and VmName had the rule of cranberrytrayd's names, which are parts of its job ids and paths.

Change: they hold 1 to 200 bytes, the length of a key in the store. cranberrytrayd still asks for plain names in its settings, and job ids have only those.

--- a/src/config.rs
+++ b/src/config.rs
@@ -4,7 +4,7 @@
     coordination::{configuration::Configuration, members::MemberInfo},
     protocol::callers::Limits,
     state::{
-        id::{VmName, ZoneName},
+        id::{VmName, ZoneName, deserialize_plain},
         policy::Policy,
         pool::WorkerInfo,
     },
@@ -201,8 +201,10 @@
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of this entry VM.
+    #[serde(deserialize_with = "deserialize_plain")]
     pub vm: VmName,
     /// Availability zone of this entry VM.
+    #[serde(deserialize_with = "deserialize_plain")]
     pub zone: ZoneName,
     /// Address at which callers are served (HTTP).
     pub callers: SocketAddr,
--- a/src/state/id.rs
+++ b/src/state/id.rs
@@ -1,18 +1,25 @@
 //! Names and ids of zones, VMs, workers, teams, jobs and tasks.
 
 use derive_more::{Display, Error};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de::Error as _};
 use std::{str::FromStr, sync::Arc};
 
-/// Length of the longest valid name, in bytes.
+/// Length of the longest plain name, in bytes.
 pub const MAX_NAME_BYTES: usize = 64;
+/// Length of the longest name that a platform may give a zone or a VM, in bytes: a key in its store.
+pub const MAX_PLATFORM_NAME_BYTES: usize = 200;
 
 /// Error from parsing a name or an id.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 pub enum IdError {
-    /// The name is empty or longer than [`MAX_NAME_BYTES`]; holds its length in bytes.
-    #[display("a name has 1 to {MAX_NAME_BYTES} characters, this one has {_0}")]
-    InvalidLength(#[error(not(source))] usize),
+    /// The name is empty or too long.
+    #[display("a name has 1 to {max} bytes, this one has {len}")]
+    InvalidLength {
+        /// Length of the name, in bytes.
+        len: usize,
+        /// Length of the longest name, in bytes.
+        max: usize,
+    },
     /// The name contains a character other than `a-z`, `0-9` and `-`.
     #[display("a name is made of a-z, 0-9 and '-', not {_0:?}")]
     InvalidCharacter(#[error(not(source))] char),
@@ -24,10 +31,21 @@
     InvalidNumber(#[error(not(source))] String),
 }
 
-fn check_name(s: &str) -> Result<(), IdError> {
-    if s.is_empty() || s.len() > MAX_NAME_BYTES {
-        return Err(IdError::InvalidLength(s.len()));
+fn check_length(s: &str, max: usize) -> Result<(), IdError> {
+    if s.is_empty() || s.len() > max {
+        return Err(IdError::InvalidLength { len: s.len(), max });
     }
+    Ok(())
+}
+
+/// Checks a name that a platform has given, which may have any characters.
+fn check_platform_name(s: &str) -> Result<(), IdError> {
+    check_length(s, MAX_PLATFORM_NAME_BYTES)
+}
+
+/// Checks a name that may be a part of an id or a path.
+fn check_plain_name(s: &str) -> Result<(), IdError> {
+    check_length(s, MAX_NAME_BYTES)?;
     match s.chars().find(|c| !matches!(c, 'a'..='z' | '0'..='9' | '-')) {
         Some(c) => Err(IdError::InvalidCharacter(c)),
         None => Ok(()),
@@ -35,7 +53,7 @@
 }
 
 macro_rules! name_type {
-    ($(#[$doc:meta])* $name:ident) => {
+    ($(#[$doc:meta])* $name:ident, $check:path) => {
         $(#[$doc])*
         #[derive(
             Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -48,13 +66,18 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// Whether the name is plain: 1 to [`MAX_NAME_BYTES`] of `a-z`, `0-9` and `-`.
+            pub fn is_plain(&self) -> bool {
+                check_plain_name(&self.0).is_ok()
+            }
         }
 
         impl FromStr for $name {
             type Err = IdError;
 
             fn from_str(s: &str) -> Result<Self, IdError> {
-                check_name(s)?;
+                $check(s)?;
                 Ok($name(s.into()))
             }
         }
@@ -76,28 +99,54 @@
 }
 
 name_type!(
-    /// Name of an availability zone.
-    ZoneName
+    /// Name of an availability zone, as the platform gives it.
+    ZoneName,
+    check_platform_name
 );
 name_type!(
-    /// Name of an entry VM.
-    VmName
+    /// Name of an entry VM, as the platform gives it.
+    VmName,
+    check_platform_name
 );
 name_type!(
     /// Name of a worker, which runs tasks.
-    WorkerName
+    WorkerName,
+    check_plain_name
 );
 name_type!(
     /// Name of a team, on whose behalf callers submit jobs. Slots are shared between teams, and
     /// quotas are set for them.
-    TeamName
+    TeamName,
+    check_plain_name
 );
 name_type!(
     /// Name of a type of job. Tasks of one type take about the same time, so that run times are
     /// predicted by type.
-    JobType
+    JobType,
+    check_plain_name
 );
 
+fn parse_plain<N>(s: &str) -> Result<N, IdError>
+where
+    N: FromStr<Err = IdError>,
+{
+    check_plain_name(s)?;
+    s.parse()
+}
+
+/// Deserializes a name that must be plain, as it becomes a part of job ids.
+///
+/// # Errors
+///
+/// Fails with an [`IdError`] if the name is not plain.
+pub fn deserialize_plain<'de, D, N>(deserializer: D) -> Result<N, D::Error>
+where
+    D: Deserializer<'de>,
+    N: FromStr<Err = IdError>,
+{
+    parse_plain(&String::deserialize(deserializer)?).map_err(D::Error::custom)
+}
+
 /// Identifies one process of an entry VM; a random number drawn when the process starts.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -163,8 +212,8 @@
         let mut parts = s.split('.');
         let mut next = || parts.next().ok_or(IdError::PartCount);
         let issuer = Issuer {
-            zone: next()?.parse()?,
-            vm: next()?.parse()?,
+            zone: parse_plain(next()?)?,
+            vm: parse_plain(next()?)?,
             incarnation: Incarnation(parse_hex(next()?)?),
         };
         let number = JobNumber(parse_hex(next()?)?);
--- a/src/state/shard.rs
+++ b/src/state/shard.rs
@@ -102,7 +102,7 @@
     }
 }
 
-/// A shard of a zone, written as `zone/index`.
+/// A shard of a zone, written as `zone/index`. The index may be left out unless the zone's name has a slash.
 ///
 /// ```
 /// use cranberrytray::state::shard::Shard;
@@ -141,7 +141,7 @@
     type Err = ShardError;
 
     fn from_str(s: &str) -> Result<Self, ShardError> {
-        let (zone, index) = s.split_once('/').unwrap_or((s, "0"));
+        let (zone, index) = s.rsplit_once('/').unwrap_or((s, "0"));
         Ok(Shard {
             zone: zone.parse().map_err(ShardError::Zone)?,
             index: index.parse().map_err(|_| ShardError::Index(index.to_owned()))?,
