Leave out what can't be read in messages of other versions

A heartbeat that can't be read closes the connection, and all jobs on it are lost. So did an outcome or a refusal that a later version adds.

Change: entries of lists are read one by one, and others are left out with a log line at debug level, as heartbeats repeat. An outcome that a VM doesn't know is unknown, and an unknown refusal stays a refusal. A job or a peer's description of itself is still read as a whole. So is the list that a shard's dispatcher passes on: a VM that can't read it reads the store, and a target that its list lacks would count as gone.

--- a/src/fleet/target_list.rs
+++ b/src/fleet/target_list.rs
@@ -2,7 +2,7 @@
 
 use super::{Node, TargetClient};
 use crate::{
-    protocol::fleet::TargetList,
+    protocol::fleet::{TargetList, read_targets},
     state::{id::ZoneName, shard::ShardCount, target::TargetInfo, time::Moment},
 };
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -89,6 +89,7 @@
         if list.age + (self.clock.now() - requested_at) > MAX_SHARED_LIST_AGE {
             return false;
         }
+        // This VM reads the store itself rather than take a list that lacks targets.
         match serde_json::from_slice::<Vec<TargetInfo>>(&list.targets) {
             Ok(targets) => {
                 let known = self.known_targets.borrow();
@@ -110,7 +111,7 @@
         if encoded.is_empty() {
             return;
         }
-        match serde_json::from_slice::<Vec<TargetInfo>>(encoded) {
+        match read_targets(encoded) {
             Ok(list) => {
                 log::info!("targets: {} received from the VM at {from}", list.len());
                 let changed = self.known_targets.borrow_mut().add_missing(list);
--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -11,11 +11,12 @@
         job_submission::{CallerJobId, JobSubmission, Outcome, Refusal, Step, TaskId},
         resources::{Accelerators, Mebibytes, MilliCores, Resources},
         shard::{Shard, ShardCount},
-        target::{TargetId, TargetIncarnation},
+        target::{TargetId, TargetIncarnation, TargetInfo},
     },
 };
-use indexmap::IndexSet;
+use capnp::NotInSchema;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 /// A VM and the address at which its peers reach it.
@@ -142,7 +143,7 @@
 ) -> Result<DispatchReply, WireError> {
     let redirected_to = r.get_passed_to()?;
     if redirected_to.is_empty() {
-        return Ok(DispatchReply::Ended(read_outcome(r.get_outcome()?)?));
+        return Ok(DispatchReply::Ended(read_outcome(r.get_outcome()?)));
     }
     Ok(DispatchReply::Redirected(read_address(redirected_to)?))
 }
@@ -155,6 +156,36 @@
     }
 }
 
+/// Reads the entries of a list, and leaves out those that can't be read: a VM of another version may send
+/// what this one doesn't know, and the rest of the message stands.
+fn read_entries<I, T, F>(entries: I, read: F) -> Vec<T>
+where
+    I: IntoIterator,
+    F: Fn(I::Item) -> Result<T, WireError>,
+{
+    let read = |entry| {
+        read(entry)
+            .inspect_err(|e| log::debug!("peers: an entry of a message is left out: {e}"))
+            .ok()
+    };
+    entries.into_iter().filter_map(read).collect()
+}
+
+/// Reads the descriptions of VMs, without those that can't be read.
+pub fn read_peers(list: capnp::struct_list::Reader<'_, wire::member::Owned>) -> Vec<Peer> {
+    read_entries(list, read_peer)
+}
+
+/// Reads a list of targets in JSON, without those that can't be read.
+///
+/// # Errors
+///
+/// Returns a [`WireError`] if the bytes are no list in JSON.
+pub fn read_targets(json: &[u8]) -> Result<Vec<TargetInfo>, WireError> {
+    let entries: Vec<&RawValue> = serde_json::from_slice(json)?;
+    Ok(read_entries(entries, |entry| Ok(serde_json::from_str(entry.get())?)))
+}
+
 fn read_text(t: capnp::text::Reader<'_>) -> Result<&str, WireError> {
     Ok(t.to_str()?)
 }
@@ -168,20 +199,10 @@
     read_text(t)?.parse().map_err(|_| WireError::Capnp(capnp::Error::failed("address".into())))
 }
 
-/// Reads the evacuated zones and their revision.
-///
-/// # Errors
-///
-/// Returns a [`WireError`] if the message is malformed.
-pub fn read_evacuations(
-    revision: u64,
-    zones: capnp::text_list::Reader<'_>,
-) -> Result<Evacuations, WireError> {
-    let mut names = IndexSet::new();
-    for zone in zones {
-        names.insert(read_text(zone?)?.parse()?);
-    }
-    Ok(Evacuations::new(revision, names))
+/// Reads the evacuated zones and their revision, without names that can't be read.
+pub fn read_evacuations(revision: u64, zones: capnp::text_list::Reader<'_>) -> Evacuations {
+    let names: Vec<ZoneName> = read_entries(zones, |zone| Ok(read_text(zone?)?.parse()?));
+    Evacuations::new(revision, names)
 }
 
 /// Writes the names of the evacuated zones into a list of the same length.
@@ -226,13 +247,12 @@
 /// Returns a [`WireError`] if the message is malformed.
 pub fn read_heartbeat(r: wire::beat::Reader<'_>) -> Result<Heartbeat, WireError> {
     let dispatcher = r.get_dispatcher()?;
-    let mut zones = Vec::new();
-    for zone in r.get_zones()? {
-        zones.push(ZoneDispatcher {
+    let zones = read_entries(r.get_zones()?, |zone| {
+        Ok(ZoneDispatcher {
             zone: read_text(zone.get_zone()?)?.parse()?,
             address: read_address(zone.get_address()?)?,
-        });
-    }
+        })
+    });
     Ok(Heartbeat {
         from: read_peer(r.get_from()?)?,
         config_version: ConfigVersion(r.get_plan_version()),
@@ -246,8 +266,8 @@
         spare_cpu: MilliCores(r.get_spare_milli_cores()),
         zones,
         leaving: r.get_leaving(),
-        losses: r.get_losses()?.iter().map(read_task_losses).collect::<Result<_, _>>()?,
-        evacuations: read_evacuations(r.get_evacuation_revision(), r.get_evacuated_zones()?)?,
+        losses: read_entries(r.get_losses()?, read_task_losses),
+        evacuations: read_evacuations(r.get_evacuation_revision(), r.get_evacuated_zones()?),
     })
 }
 
@@ -385,23 +405,19 @@
     (Refusal::Shape, wire::Refusal::Shape),
 ];
 
-/// Reads the outcome of a job.
-///
-/// # Errors
-///
-/// Returns a [`WireError`] if the message is malformed.
-fn read_outcome(r: wire::outcome::Reader<'_>) -> Result<Outcome, WireError> {
-    let encoded_refusal = r.get_refusal().map_err(capnp::Error::from)?;
-    let refusal = REFUSALS.iter().find(|(_, encoded)| *encoded == encoded_refusal);
-    Ok(match r.get_verdict().map_err(capnp::Error::from)? {
-        wire::Verdict::Completed => Outcome::Completed,
-        wire::Verdict::Failed => Outcome::Failed,
-        wire::Verdict::NotRun => Outcome::NotRun {
+/// Reads the outcome of a job. An outcome that this version doesn't know is unknown, and a refusal that it doesn't
+/// know is one of a dispatcher that takes no jobs.
+fn read_outcome(r: wire::outcome::Reader<'_>) -> Outcome {
+    let refusal = REFUSALS.iter().find(|(_, encoded)| r.get_refusal() == Ok(*encoded));
+    match r.get_verdict() {
+        Ok(wire::Verdict::Completed) => Outcome::Completed,
+        Ok(wire::Verdict::Failed) => Outcome::Failed,
+        Ok(wire::Verdict::NotRun) => Outcome::NotRun {
             refusal: refusal.map_or(Refusal::Closed, |(refusal, _)| *refusal),
             retry_after: Duration::from_millis(u64::from(r.get_retry_after_ms())),
         },
-        wire::Verdict::Unknown => Outcome::Unknown,
-    })
+        Ok(wire::Verdict::Unknown) | Err(NotInSchema(_)) => Outcome::Unknown,
+    }
 }
 
 /// Writes the outcome of a job.
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -17,7 +17,7 @@
     fleet_capnp::peer,
     protocol::fleet::{
         DispatchReply, Heartbeat, Snapshot, TargetList, read_dispatch_reply, read_evacuations,
-        read_heartbeat, read_job_submission, read_peer, write_dispatch_reply,
+        read_heartbeat, read_job_submission, read_peers, write_dispatch_reply,
         write_evacuated_zones, write_heartbeat, write_job_submission, write_peer,
     },
     state::{
@@ -458,7 +458,7 @@
         let call = req.send().promise;
         let res = timeout(SNAPSHOT_TIMEOUT, call).await.map_err(|_| RpcError::Timeout)??;
         let res = res.get()?;
-        let peers = res.get_members()?.iter().map(read_peer).collect::<Result<_, _>>()?;
+        let peers = read_peers(res.get_members()?);
         Ok(Snapshot {
             version: ConfigVersion(res.get_plan_version()),
             config: res.get_plan()?.to_vec(),
@@ -467,7 +467,7 @@
             evacuations: read_evacuations(
                 res.get_evacuation_revision(),
                 res.get_evacuated_zones()?,
-            )?,
+            ),
         })
     }
 
