--- a/src/state/fleet_config.rs
+++ b/src/state/fleet_config.rs
@@ -160,11 +160,13 @@
 }
 
 impl FleetConfig {
-    /// Returns the queue of a request: among the queues with its host, the one with the longest
-    /// prefix of its path.
+    /// Returns the queue of a request: among the queues with its host, of which the case doesn't matter, the one
+    /// with the longest prefix of its path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Queue> {
-        let matches =
-            self.queues.iter().filter(|q| &*q.host == host && path.starts_with(&*q.prefix));
+        let matches = self
+            .queues
+            .iter()
+            .filter(|q| q.host.eq_ignore_ascii_case(host) && path.starts_with(&*q.prefix));
         matches.max_by_key(|q| q.prefix.len())
     }
 
