--- a/src/protocol/fleet.rs
+++ b/src/protocol/fleet.rs
@@ -171,9 +171,19 @@
     entries.into_iter().filter_map(read).collect()
 }
 
-/// Reads the descriptions of VMs, without those that can't be read.
-pub fn read_peers(list: capnp::struct_list::Reader<'_, wire::member::Owned>) -> Vec<Peer> {
-    read_entries(list, read_peer)
+/// Reads what a VM knows, without the VMs and evacuated zones that can't be read.
+///
+/// # Errors
+///
+/// Returns a [`WireError`] if the message is malformed.
+pub fn read_snapshot(r: wire::peer::snapshot_results::Reader<'_>) -> Result<Snapshot, WireError> {
+    Ok(Snapshot {
+        version: ConfigVersion(r.get_plan_version()),
+        config: r.get_plan()?.to_vec(),
+        peers: read_entries(r.get_members()?, read_peer),
+        targets: r.get_targets()?.to_vec(),
+        evacuations: read_evacuations(r.get_evacuation_revision(), r.get_evacuated_zones()?),
+    })
 }
 
 /// Reads a list of targets in JSON, without those that can't be read.
@@ -200,7 +210,7 @@
 }
 
 /// Reads the evacuated zones and their revision, without names that can't be read.
-pub fn read_evacuations(revision: u64, zones: capnp::text_list::Reader<'_>) -> Evacuations {
+fn read_evacuations(revision: u64, zones: capnp::text_list::Reader<'_>) -> Evacuations {
     let names: Vec<ZoneName> = read_entries(zones, |zone| Ok(read_text(zone?)?.parse()?));
     Evacuations::new(revision, names)
 }
@@ -217,7 +227,7 @@
 /// # Errors
 ///
 /// Returns a [`WireError`] if the message is malformed.
-pub fn read_peer(r: wire::member::Reader<'_>) -> Result<Peer, WireError> {
+fn read_peer(r: wire::member::Reader<'_>) -> Result<Peer, WireError> {
     Ok(Peer {
         vm: read_text(r.get_vm()?)?.parse()?,
         zone: read_text(r.get_zone()?)?.parse()?,
--- a/src/transport/fleet.rs
+++ b/src/transport/fleet.rs
@@ -16,12 +16,12 @@
     },
     fleet_capnp::peer,
     protocol::fleet::{
-        DispatchReply, Heartbeat, Snapshot, TargetList, read_dispatch_reply, read_evacuations,
-        read_heartbeat, read_job_submission, read_peers, write_dispatch_reply,
-        write_evacuated_zones, write_heartbeat, write_job_submission, write_peer,
+        DispatchReply, Heartbeat, Snapshot, TargetList, read_dispatch_reply, read_heartbeat,
+        read_job_submission, read_snapshot, write_dispatch_reply, write_evacuated_zones,
+        write_heartbeat, write_job_submission, write_peer,
     },
     state::{
-        id::{ConfigVersion, VmName, ZoneName},
+        id::{VmName, ZoneName},
         job_submission::{CallerJobId, JobSubmission},
         shard::ShardCount,
         target::TargetId,
@@ -457,18 +457,7 @@
         req.get().set_zone(zone.map_or("", |zone| zone.as_str()));
         let call = req.send().promise;
         let res = timeout(SNAPSHOT_TIMEOUT, call).await.map_err(|_| RpcError::Timeout)??;
-        let res = res.get()?;
-        let peers = read_peers(res.get_members()?);
-        Ok(Snapshot {
-            version: ConfigVersion(res.get_plan_version()),
-            config: res.get_plan()?.to_vec(),
-            peers,
-            targets: res.get_targets()?.to_vec(),
-            evacuations: read_evacuations(
-                res.get_evacuation_revision(),
-                res.get_evacuated_zones()?,
-            ),
-        })
+        Ok(read_snapshot(res.get()?)?)
     }
 
     /// Requests the list of targets of the peer's zone.
