--- a/src/coordination/dispatch/replies.rs
+++ b/src/coordination/dispatch/replies.rs
@@ -21,8 +21,7 @@
 const MAX_MISSED_ANSWERS: u32 = 2;
 /// Weight of one lease renewal in the loss rate; hundreds are sent per second.
 const LOSS_RATE_WEIGHT: f64 = 0.02;
-/// Least progress from which the end of a run is projected; below it, whole percents are too
-/// coarse.
+/// Least progress from which the end of a run is projected; below it, whole percents are too coarse.
 pub(super) const MIN_PROGRESS_PERCENT: u32 = 10;
 
 /// Reason why a target did not start a run.
@@ -49,8 +48,7 @@
 pub enum StartReply {
     /// The run has started. Contains the time on the target's clock.
     Started(TargetTime),
-    /// The run does not exist and will not be started. Contains the time on the target's clock, if
-    /// known.
+    /// The run does not exist and will not be started. Contains the time on the target's clock, if known.
     Refused(StartRefusal, Option<TargetTime>),
     /// The request was not sent, since no connection could be made.
     NotSent,
@@ -72,8 +70,7 @@
 /// Reply to a stop request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopReply {
-    /// The run ends within the time that the platform guarantees; if it has not begun, it never
-    /// will.
+    /// The run ends within the time that the platform guarantees; if it has not begun, it never will.
     Stopped,
     /// The target has seen a higher fencing token.
     Fenced,
@@ -156,8 +153,7 @@
                 }
             }
             StartReply::Unknown => self.on_unanswered_start(id, task, now),
-            // A reply to the second request does not cover the first, which may still start the
-            // run.
+            // A reply to the second request does not cover the first, which may still start the run.
             reply if run.start_attempts > 1 => {
                 match reply {
                     StartReply::Refused(StartRefusal::OtherTarget, _) => {
